--- /dev/null
+++ b/flaxtally/cloud.py
@@ -0,0 +1,155 @@
+"""Client of the cloud: one call budget, urgent calls first."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import logging
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+
+from . import wire
+from .http import Client, Reply
+from .loop import Address, Runtime
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+_catalog = msgspec.msgpack.Decoder(wire.Catalog)
+_rented = msgspec.msgpack.Decoder(wire.Rented)
+_listing = msgspec.msgpack.Decoder(wire.Listing)
+
+URGENT, RENT, ROUTINE = 0, 1, 2
+MOST_RELEASED = 100
+MOST_RENTED = 50
+
+
+class Bucket:
+    """A call budget: `rate` a second, with bursts of `burst`."""
+
+    def __init__(self, runtime: Runtime, rate: float, burst: float) -> None:
+        self._runtime, self._rate, self._burst = runtime, rate, burst
+        self._level, self._at = burst, runtime.now()
+
+    def wait(self, cost: float) -> float:
+        """Seconds until `cost` can be taken (0: now)."""
+        now = self._runtime.now()
+        self._level = min(self._burst, self._level + (now - self._at) * self._rate)
+        self._at = now
+        return max(0.0, (min(cost, self._burst) - self._level) / self._rate)
+
+    def take(self, cost: float) -> None:
+        self._level -= cost
+
+    def empty(self) -> None:
+        self._level = 0.0
+
+
+class Cloud:
+    """The cloud's calls. Every `done` gets None when there was no answer that can be believed."""
+
+    def __init__(self, runtime: Runtime, address: Address, rps: float, timeout: float) -> None:
+        self._runtime, self._timeout = runtime, timeout
+        self._client = Client(runtime, address, most=3)
+        # Three nodes share no budget: only the leader calls, and a fresh leader must not start with
+        # the burst that its predecessor may just have used.
+        self._bucket = Bucket(runtime, rps * 0.9, rps)
+        self._waiting: list[tuple[int, int, tuple[Any, ...]]] = []
+        self._order = itertools.count()
+        self._armed = False
+        self.troubled_at = float("-inf")
+        self.contact = float("-inf")
+
+    def catalog(self, done: Callable[[list[wire.MachineType] | None], None]) -> None:
+        self._call(ROUTINE, "GET", wire.CATALOG, None, lambda reply: done(self._read(reply, _catalog, "types")))
+
+    def rent(
+        self, request: str, kind: str, zone: str, spot: bool, count: int,
+        done: Callable[[str, list[str]], None],
+    ) -> None:  # fmt: skip
+        """`done(outcome, machines)` with outcome `rented`, `none` (no capacity) or `unknown`."""
+
+        def told(reply: Reply) -> None:
+            machines = self._read(reply, _rented, "machines")
+            if machines is not None:
+                done("rented", machines)
+            elif reply.status == 503 and b"capacity" in reply.body:
+                self.contact = self._runtime.now()
+                done("none", [])
+            else:
+                done("unknown", [])
+
+        self._call(RENT, "POST", wire.RENTALS, wire.rental(request, kind, zone, spot, count), told)
+
+    def release(self, machines: list[str], done: Callable[[bool], None]) -> None:
+        """`done(True)` only on a 200: then the machines and everything on them are gone."""
+
+        def told(reply: Reply) -> None:
+            if reply.status == 200:
+                self.contact = self._runtime.now()
+            done(reply.status == 200)
+
+        self._call(URGENT, "POST", wire.RELEASE, wire.release(machines), told)
+
+    def listing(self, done: Callable[[list[wire.Listed] | None], None]) -> None:
+        found: list[wire.Listed] = []
+
+        def told(reply: Reply) -> None:
+            page: wire.Listing | None = self._read(reply, _listing, None)
+            if page is None:
+                done(None)
+                return
+            found.extend(page.machines)
+            if page.more and page.machines:
+                ask(page.machines[-1].machine)
+            else:
+                done(found)
+
+        def ask(after: str | None) -> None:
+            self._call(ROUTINE, "GET", wire.listing_path(after, 500), None, told)
+
+        ask(None)
+
+    def forget(self) -> None:
+        """Drops what still waits to be called; for a leader that is one no more."""
+        self._waiting.clear()
+
+    def _read(self, reply: Reply, decoder: Any, field: str | None) -> Any:
+        if reply.status != 200:
+            return None
+        self.contact = self._runtime.now()
+        try:
+            message = decoder.decode(reply.body)
+        except msgspec.DecodeError as fault:
+            log.warning("cloud: %s", fault)
+            return None
+        return message if field is None else getattr(message, field)
+
+    def _call(self, urgency: int, method: str, path: str, body: Any, told: Callable[[Reply], None]) -> None:
+        heapq.heappush(self._waiting, (urgency, next(self._order), (method, path, body, told)))
+        self._pump()
+
+    def _pump(self) -> None:
+        self._armed = False
+        while self._waiting:
+            wait = self._bucket.wait(1.0)
+            if wait > 0:
+                self._armed = True
+                self._runtime.after(wait, self._again)
+                return
+            self._bucket.take(1.0)
+            method, path, body, told = heapq.heappop(self._waiting)[2]
+            self._client.request(method, path, body, self._timeout, lambda reply, t=told: self._told(reply, t))  # type: ignore[misc]
+
+    def _again(self) -> None:
+        if self._armed:
+            self._pump()
+
+    def _told(self, reply: Reply, told: Callable[[Reply], None]) -> None:
+        if reply.status == 429:
+            self._bucket.empty()
+        if reply.status in (0, 429) or (reply.status == 503 and b"capacity" not in reply.body):
+            self.troubled_at = self._runtime.now()
+        told(reply)
--- /dev/null
+++ b/flaxtally/dispatch.py
@@ -0,0 +1,218 @@
+"""The part: answers the reports of the machines that the live view gives this node, carries orders."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from . import wire
+from .actor import Actor
+from .election import Election
+from .http import Request
+from .leader import HEARS, Carrier
+from .loop import Runtime, Timer
+from .peers import Frame, Peers
+from .policy import Policy
+from .settings import Settings
+from .store import Outcome, Store
+from .workers import Workers, decode_report
+
+log = logging.getLogger(__name__)
+
+Told = Callable[[int, bytes], None]
+
+
+def owner(machine: str, view: list[str]) -> str | None:
+    """Rendezvous hashing: the live controller that the machine belongs to."""
+    return max(view, key=lambda node: hashlib.blake2b(f"{machine} {node}".encode(), digest_size=8).digest(), default=None)
+
+
+class Dispatch(Actor, Carrier):
+    """Owns what this node hears from machines and the orders that it carries."""
+
+    def __init__(
+        self, runtime: Runtime, settings: Settings, policy: Policy, election: Election, peers: Peers,
+        workers: Workers, store: Store,
+    ) -> None:  # fmt: skip
+        super().__init__(runtime)
+        self._settings, self._policy = settings, policy
+        self._election, self._peers, self._workers, self._store = election, peers, workers, store
+        self._deliver: Callable[[str, wire.Report], None] = lambda server, report: None
+        self._heard: dict[str, tuple[float, wire.Report]] = {}
+        self._sent_on: dict[str, float] = {}
+        self._returned: dict[str, float] = {}
+        self._owners: dict[str, str | None] = {}
+        self._owners_of: list[str] = []
+        self._ids = itertools.count(1)
+        self._carried: dict[int, tuple[Told, Timer]] = {}
+        self._hears_version: int | None = None
+        self._hears_busy = False
+        self._seen_versions: dict[str, tuple[int, float]] = {}
+        self.every(policy.probe, self._bear_witness)
+        self.every(settings.lease_s, self._tidy)
+
+    def deliver_to(self, deliver: Callable[[str, wire.Report], None]) -> None:
+        self._deliver = deliver
+
+    # Reports
+
+    def beat(self, request: Request) -> None:
+        try:
+            report = decode_report(request.body)
+        except msgspec.DecodeError as fault:
+            log.warning("a worker's report: %s", fault)
+            request.reply(400, {"error": "not a report"})
+            return
+        election, now, name = self._election, self.runtime.now(), report.machine
+        if report.token > election.term:
+            # Somebody with a higher term commands it: we are not entitled to act.
+            request.reply(421, wire.report_elsewhere(None))
+            return
+        if election.term == 0 or election.leader_in_touch > self._policy.unattended:
+            request.reply(503, None)
+            return
+        theirs = self._owner(name)
+        if theirs not in (None, self._settings.node) and self._peers.fresh(theirs or ""):
+            lease = self._settings.lease_s
+            if now - self._sent_on.get(name, float("-inf")) < lease:
+                # Sent on and back again: evidently it can't reach its owner.
+                self._returned[name] = now
+            if now - self._returned.get(name, float("-inf")) > 3 * lease:
+                self._sent_on[name] = now
+                request.reply(421, wire.report_elsewhere(theirs))
+                return
+        request.reply(200, wire.beat_answer(election.term))
+        self._heard[name] = (now, report)
+        if election.leading:
+            self._deliver(self._settings.node, report)
+        elif election.leader is not None:
+            self._peers.send(election.leader, {"k": "rep", "t": election.term, "b": request.body})
+
+    def _owner(self, name: str) -> str | None:
+        view = self._election.view
+        if view != self._owners_of:
+            self._owners, self._owners_of = {}, list(view)
+        if name not in self._owners:
+            self._owners[name] = owner(name, view)
+        return self._owners[name]
+
+    def forwarded(self, sender: str, frame: Frame) -> None:
+        """A report that another part took."""
+        if self._election.leading and frame.get("t") == self._election.term:
+            try:
+                report = decode_report(frame["b"])
+            except (msgspec.DecodeError, KeyError, TypeError) as fault:
+                log.warning("a forwarded report: %s", fault)
+                return
+            self._heard[report.machine] = (self.runtime.now(), report)
+            self._deliver(sender, report)
+
+    def known_machines(self) -> list[wire.Report]:
+        now = self.runtime.now()
+        return [report for at, report in self._heard.values() if now - at < self._settings.lease_s]
+
+    def _tidy(self) -> None:
+        old = self.runtime.now() - 4 * self._settings.lease_s
+        self._heard = {name: entry for name, entry in self._heard.items() if entry[0] > old}
+        self._sent_on = {name: at for name, at in self._sent_on.items() if at > old}
+        self._returned = {name: at for name, at in self._returned.items() if at > old}
+
+    # Orders
+
+    def carry(
+        self, server: str | None, machine: str, address: str, body: dict[str, Any] | None, done: Told
+    ) -> None:  # fmt: skip
+        if server is None or server == self._settings.node or not self._peers.fresh(server):
+            self._send(address, body, done)
+            return
+        number = next(self._ids)
+        timer = self.later(self._policy.order_call * 1.25, self._uncarried, number)
+        self._carried[number] = (done, timer)
+        self._peers.send(server, {"k": "ord", "i": number, "a": address, "o": body})
+
+    def _send(self, address: str, body: dict[str, Any] | None, done: Told) -> None:
+        if body is None:
+            self._workers.status(address, done)
+        else:
+            self._workers.orders(address, body, done)
+
+    def _uncarried(self, number: int) -> None:
+        entry = self._carried.pop(number, None)
+        if entry is not None:
+            entry[0](0, b"")
+
+    def order(self, sender: str, frame: Frame) -> None:
+        """The leader asks this part to carry orders. Late ones are harmless: they name term and session."""
+        address, body, number = frame.get("a"), frame.get("o"), frame.get("i")
+        if not isinstance(address, str) or not isinstance(body, dict):
+            log.warning("orders of %s are none", sender)
+            return
+        if body.get("baton") != self._election.term:
+            return
+
+        def told(status: int, answer: bytes) -> None:
+            self._peers.send(sender, {"k": "done", "i": number, "s": status, "b": answer})
+
+        self._send(address, body, told)
+
+    def carried(self, sender: str, frame: Frame) -> None:
+        entry = self._carried.pop(frame.get("i", 0), None)
+        if entry is not None:
+            entry[1].cancel()
+            entry[0](int(frame.get("s", 0)), bytes(frame.get("b", b"")))
+
+    # Witness: what a node that can't reach the leader hears, told through the state service
+
+    def _bear_witness(self) -> None:
+        election = self._election
+        if election.leading or election.term == 0 or self._peers.fresh(election.leader or ""):
+            return
+        if self._hears_busy or not election.store_answers:
+            return
+        now = self.runtime.now()
+        names = sorted(name for name, (at, _) in self._heard.items() if now - at < self._policy.machine_silence)
+        key = HEARS + self._settings.node
+        self._hears_busy = True
+
+        def told(outcome: Outcome, revision: int) -> None:
+            self._hears_busy = False
+            self._hears_version = revision if outcome is Outcome.DONE else None
+
+        def read(known: bool, row: wire.Row | None) -> None:
+            if not known:
+                self._hears_busy = False
+                return
+            self._hears_version = row.version if row else 0
+            write()
+
+        def write() -> None:
+            value = {"m": names, "at": round(now, 1)}
+            self._store.transact({key: self._hears_version or 0}, {key: value}, [], told)
+
+        if self._hears_version is None:
+            self._store.get(key, read)
+        else:
+            write()
+
+    def heard_elsewhere(self, done: Callable[[set[str]], None]) -> None:
+        """Machines named by witnesses whose key changed lately."""
+
+        def told(rows: list[wire.Row] | None) -> None:
+            if rows is None:
+                return
+            now, names = self.runtime.now(), set[str]()
+            for row in rows:
+                last = self._seen_versions.get(row.key)
+                if last is None or last[0] != row.version:
+                    # First sight says nothing of when it was written; it spares for a while all the same.
+                    last = self._seen_versions[row.key] = (row.version, now)
+                if now - last[1] < 4 * self._policy.probe and isinstance(row.value, dict):
+                    names.update(row.value.get("m", []))
+            done(names)
+
+        self._store.rows(HEARS, told)
--- /dev/null
+++ b/flaxtally/election.py
@@ -0,0 +1,278 @@
+"""Who leads: the leader key, the term, and when a lost leader is replaced.
+
+The key `lead` holds `{term, node, boot}`. A takeover is a transaction guarded by the version that was
+read, with a term one higher; every ledger transaction guards that version too, so a deposed leader's
+writes fail whatever the timing, and taking over early costs work but never safety. What follows is
+therefore only about *when* it is worth it.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from . import wire
+from .actor import Actor
+from .loop import Runtime
+from .peers import Frame, Peers
+from .policy import Policy
+from .store import Outcome, Store
+
+log = logging.getLogger(__name__)
+
+LEAD = "lead"
+ALIVE = "alive/"
+
+
+class Election(Actor):
+    """Owns the node's belief about term, leader and live view."""
+
+    def __init__(
+        self, runtime: Runtime, node: str, policy: Policy, store: Store, peers: Peers, rng: random.Random,
+        lead: Callable[[int, int], None], follow: Callable[[], None],
+    ) -> None:  # fmt: skip
+        super().__init__(runtime)
+        self._node, self._policy, self._store, self._peers, self._rng = node, policy, store, peers, rng
+        self._lead, self._follow = lead, follow
+        self._boot = f"{rng.getrandbits(64):016x}"
+        self._started = runtime.now()
+        self.term = 0
+        self.leader: str | None = None
+        self.leading = False
+        self.ready = False
+        self.version = 0
+        self.view: list[str] = []
+        self._key_known = False
+        self._key_mine_of_old = False
+        self._leader_heard = float("-inf")
+        self._leader_able = False
+        self._leader_ready = False
+        self._lost_since: float | None = None
+        self._sees: dict[str, bool] = {}
+        self._reading = self._taking = self._checking = False
+        self._lease: int | None = None
+        self._lease_turn = 0
+        self._leasing = False
+        self._able_at = float("-inf")
+
+    def start(self) -> None:
+        self.every(self._policy.heartbeat, self._beat)
+        self.every(self._policy.probe, self._probe)
+
+    # What others ask
+
+    @property
+    def store_answers(self) -> bool:
+        return self.runtime.now() - self._store.contact < 2.2 * self._policy.probe
+
+    @property
+    def leader_in_touch(self) -> float:
+        """Seconds since the leader of our term was last heard (0 for the leader itself)."""
+        if self.leading:
+            return max(0.0, self.runtime.now() - self._store.contact - self._policy.probe)
+        return self.runtime.now() - self._leader_heard
+
+    @property
+    def able(self) -> bool:
+        """Whether this node reaches, or is, a leader that can commit; damped, since a node that
+        was marked down comes back slowly."""
+        now = self.runtime.now()
+        if self.leading:
+            able = self.ready and self.store_answers
+        else:
+            able = self._peers.fresh(self.leader or "") and self._leader_able and self._leader_ready
+        if able:
+            self._able_at = now
+        return now - self._able_at < 1.5 * self._policy.probe
+
+    # Heartbeats
+
+    def _beat(self) -> None:
+        if self.leading:
+            self.view = sorted([self._node, *(peer for peer in self._peers.heard if self._peers.fresh(peer))])
+        self._peers.broadcast({
+            "k": "hb", "term": self.term, "leader": self.leader, "able": self.leading and self.store_answers,
+            "ready": self.ready, "sees": self._sees_leader(), "view": self.view if self.leading else [],
+        })  # fmt: skip
+        self._consider()
+
+    def heartbeat(self, sender: str, frame: Frame) -> None:
+        term, leader = frame.get("term"), frame.get("leader")
+        if not isinstance(term, int) or not isinstance(leader, str | None):
+            return
+        self._sees[sender] = frame.get("sees") is True and term == self.term
+        if term > self.term and leader is not None:
+            self._adopt(term, leader)
+        if sender == leader == self.leader and term == self.term and not self.leading:
+            self._leader_heard = self.runtime.now()
+            self._leader_able = frame.get("able") is True
+            self._leader_ready = frame.get("ready") is True
+            view = frame.get("view")
+            if isinstance(view, list) and all(isinstance(name, str) for name in view):
+                self.view = view
+
+    def _sees_leader(self) -> bool:
+        if self.leading:
+            return True
+        return self.leader is not None and self._peers.fresh(self.leader) and self._leader_able
+
+    def _adopt(self, term: int, leader: str) -> None:
+        log.info("event=follow node=%s term=%d leader=%s", self._node, term, leader)
+        was = self.leading
+        self.term, self.leader, self.leading, self.ready = term, leader, False, False
+        self._key_known = False
+        self._lease = None
+        self._leader_heard, self._leader_able, self._leader_ready = self.runtime.now(), True, False
+        self._lost_since = None
+        if was:
+            self._follow()
+
+    def depose(self) -> None:
+        """A guarded write failed: somebody else leads. The key will say who."""
+        if self.leading:
+            log.info("event=deposed node=%s term=%d", self._node, self.term)
+            self.leading = self.ready = False
+            self.leader = None
+            self._lease = None
+            self._follow()
+            self._probe()
+
+    # The key
+
+    def _probe(self) -> None:
+        if self.leading:
+            self._keep_lease()
+        if self._reading:
+            return
+        self._reading = True
+
+        def told(known: bool, row: wire.Row | None) -> None:
+            self._reading = False
+            if known:
+                self._read(row)
+
+        self._store.get(LEAD, told)
+
+    def _read(self, row: wire.Row | None) -> None:
+        if row is None:
+            if self.term == 0:
+                self.version, self._key_known = 0, True
+                self._consider()
+            return
+        value: Any = row.value
+        if not isinstance(value, dict) or not isinstance(value.get("term"), int):
+            log.error("the leader key holds nonsense: %r", value)
+            return
+        term, node = value["term"], str(value.get("node"))
+        mine = value.get("boot") == self._boot
+        if self.leading:
+            if term > self.term or (term == self.term and not mine):
+                self.depose()
+            return
+        if term < self.term:
+            return
+        if mine and node == self._node:
+            # Our own takeover was applied although its answer was lost.
+            self._won(term, row.version)
+            return
+        if term > self.term or self.leader is None:
+            self._adopt(term, node)
+        self.version, self._key_known = row.version, True
+        self._key_mine_of_old = node == self._node
+        self._consider()
+
+    def _consider(self) -> None:
+        """Takes over when the leader is lost, and nobody whom we hear still sees it."""
+        if self.leading or self._taking or not self._key_known or not self.store_answers:
+            return
+        now, policy = self.runtime.now(), self._policy
+        if self.term == 0 or self._key_mine_of_old:
+            # No leader yet, or an earlier life of this very node: nothing to wait for.
+            self._schedule(self._rng.uniform(0, policy.peer_silence / 4) if self.term == 0 else 0.0)
+            return
+        lost = not self._sees_leader() and now - self._started > policy.peer_silence
+        if not lost:
+            self._lost_since = None
+            return
+        if self._lost_since is None:
+            self._lost_since = now
+        others = [peer for peer in self._peers.heard if peer != self.leader and self._peers.fresh(peer)]
+        rank = sorted([self._node, *others]).index(self._node)
+        if now - self._lost_since < policy.heartbeat * (1 + 2 * rank):
+            return
+        if others and not any(self._sees.get(peer) for peer in others):
+            self._schedule(self._rng.uniform(0, policy.heartbeat / 2))
+        elif not self._checking:
+            # Alone, or others disagree: the leader's lease at the state service decides.
+            self._checking = True
+            self._store.rows(ALIVE, self._checked)
+
+    def _checked(self, rows: list[wire.Row] | None) -> None:
+        self._checking = False
+        if rows is not None and not any(row.value == self.term for row in rows):
+            self._schedule(self._rng.uniform(0, self._policy.heartbeat))
+
+    def _schedule(self, delay: float) -> None:
+        self._taking = True
+        self.later(delay, self._take)
+
+    def _take(self) -> None:
+        if self.leading or not self._key_known:
+            self._taking = False
+            return
+        term, version = self.term + 1, self.version
+        value = {"term": term, "node": self._node, "boot": self._boot}
+
+        def told(outcome: Outcome, revision: int) -> None:
+            self._taking = False
+            if outcome is Outcome.DONE and term > self.term:
+                self._won(term, revision)
+            elif outcome is not Outcome.DONE:
+                self._key_known = False
+                self._probe()
+
+        self._store.transact({LEAD: version}, {LEAD: value}, [], told)
+
+    def _won(self, term: int, version: int) -> None:
+        log.info("event=lead node=%s term=%d", self._node, term)
+        self.term, self.leader, self.version = term, self._node, version
+        self.leading, self.ready, self._key_mine_of_old = True, False, False
+        self._key_known = False
+        self._lost_since = None
+        self._lease = None
+        self._beat()
+        self._lead(term, version)
+        self._keep_lease()
+
+    def _keep_lease(self) -> None:
+        """Keeps `alive/...` at the state service: the backstop for those who can't hear us."""
+        if self._leasing:
+            return
+        self._leasing = True
+        term, lease = self.term, self._lease
+        if lease is not None:
+
+            def extended(alive: bool | None) -> None:
+                self._leasing = False
+                if alive is False and self._lease == lease:
+                    self._lease = None
+
+            self._store.extend(lease, extended)
+            return
+
+        def held(lease: int | None) -> None:
+            self._leasing = False
+            if lease is None or not self.leading or self.term != term:
+                return
+            self._lease = lease
+            self._lease_turn += 1
+            key = f"{ALIVE}{term}-{self._lease_turn}"
+            self._store.transact({LEAD: self.version, key: 0}, {key: term}, [], self._noted, lease=lease)
+
+        self._store.hold(self._policy.leader_hold, held)
+
+    def _noted(self, outcome: Outcome, _: int) -> None:
+        if outcome in (Outcome.REFUSED, Outcome.UNKNOWN):
+            self._lease = None
--- /dev/null
+++ b/flaxtally/fill.py
@@ -0,0 +1,163 @@
+"""What to rent for the gaps of the forecast: cheapest per unit of work first. Pure.
+
+For each step of the horizon the demand is packed into the rooms that will be there by then (machines
+up, and machines asked for until twice their boot time has passed). Packing into the rooms themselves,
+not into their sum, is the exception that DESIGN's "room in pieces" asks for. What finds no room at
+some step is a gap; from its first step to the last one of its run each type is scored by
+(launch overhead + (e - t) x price) / work served, and the cheapest joins until no gap remains.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from . import wire
+from .forecast import Shape
+from .placement import SLACK, GpuNeeds
+
+
+@dataclass
+class Bin:
+    """A machine's room at one step of the packing."""
+
+    kind: wire.MachineType
+    zone: str
+    spot: bool
+    cores: float
+    gpus: float
+    ram: float
+    ready_at: float = 0.0
+    name: str = ""
+
+
+@dataclass(frozen=True)
+class Pool:
+    """Where machines can be asked for."""
+
+    kind: str
+    zone: str
+    spot: bool
+
+
+@dataclass
+class Rent:
+    """One machine to rent, and why."""
+
+    pool: Pool
+    lane: str
+    score: float
+    first: float
+    last: float
+
+
+@dataclass
+class Demand:
+    """Tasks of one shape that need room at a time of the horizon."""
+
+    shape: Shape
+    count: float
+    until: float
+    zones: dict[str, int] = field(default_factory=dict)
+
+
+def fits(shape: Shape, kind: wire.MachineType, zone: str, spot: bool) -> bool:
+    return (
+        (shape.types is None or kind.name in shape.types)
+        and (shape.zone is None or shape.zone == zone)
+        and (shape.spot or not spot)
+        and shape.cores <= kind.cores + SLACK
+        and shape.gpus <= kind.gpus + SLACK
+        and shape.ram <= kind.ram + SLACK
+    )
+
+
+def _slots(shape: Shape, room: Bin, needs: GpuNeeds) -> int:
+    """How many tasks of a shape a bin still takes."""
+    cores, ram = room.cores, room.ram
+    if not shape.gpus and room.kind.gpus:
+        cores -= room.gpus * min(needs.cores, room.kind.cores / room.kind.gpus)
+        ram -= room.gpus * min(needs.ram, room.kind.ram / room.kind.gpus)
+    counts = [
+        (have + SLACK) / want for have, want in ((cores, shape.cores), (room.gpus, shape.gpus), (ram, shape.ram)) if want
+    ]
+    return max(0, int(min(counts))) if counts else 1_000_000
+
+
+def _take(shape: Shape, room: Bin, count: int) -> None:
+    room.cores -= shape.cores * count
+    room.gpus -= shape.gpus * count
+    room.ram -= shape.ram * count
+
+
+def pack(demand: Demand, rooms: list[Bin], needs: GpuNeeds) -> int:
+    """Packs the demand into the rooms, which it uses up; gives how many tasks are left over."""
+    left = int(demand.count)
+    shape = demand.shape
+    # Spot machines first for what may use them, plain ones first for what needs no GPU.
+    for room in sorted(
+        (room for room in rooms if fits(shape, room.kind, room.zone, room.spot)),
+        key=lambda room: (shape.spot and not room.spot, bool(room.kind.gpus) and not shape.gpus),
+    ):
+        if left <= 0:
+            break
+        count = min(left, _slots(shape, room, needs))
+        if count:
+            _take(shape, room, count)
+            left -= count
+    return left
+
+
+def cheapest(
+    demand: Demand, count: int, first: float, kinds: dict[str, wire.MachineType], pools: list[Pool],
+    needs: GpuNeeds, spot_worth: float,
+) -> tuple[float, Pool] | None:  # fmt: skip
+    """The pool with the lowest price per unit of work for this gap. Among equal ones, the zone that
+    the shape's machines use least."""
+    best: tuple[float, int, Pool] | None = None
+    shape = demand.shape
+    hours = max(demand.until - first, 1.0) / 3600
+    for pool in pools:
+        kind = kinds[pool.kind]
+        if not fits(shape, kind, pool.zone, pool.spot):
+            continue
+        served = min(count, _slots(shape, Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram), needs))
+        if not served:
+            continue
+        price = kind.spot_price * spot_worth if pool.spot else kind.price
+        score = (price * kind.boot / 3600 + hours * price) / (served * hours)
+        key = (round(score, 6), demand.zones.get(pool.zone, 0))
+        if best is None or key < best[:2]:
+            best = (*key, pool)
+    return (best[0], best[2]) if best else None
+
+
+def plan(
+    steps: list[tuple[float, list[Demand], list[Bin]]], kinds: dict[str, wire.MachineType], pools: list[Pool],
+    needs: GpuNeeds, spot_worth: float, most: int,
+) -> list[Rent]:  # fmt: skip
+    """What to rent now. `steps`: (time from now, demand, rooms) in order of time; what is rented for one
+    step is room at the later ones."""
+    rents: list[Rent] = []
+    joined: list[tuple[Pool, wire.MachineType]] = []
+    open_pools = list(pools)
+    for at, demands, rooms in steps:
+        bins = rooms + [
+            Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram) for pool, kind in joined
+        ]  # fmt: skip
+        for demand in demands:
+            left = pack(demand, bins, needs)
+            while left > 0 and len(rents) < most:
+                found = cheapest(demand, left, at, kinds, open_pools, needs, spot_worth)
+                if found is None:
+                    break
+                score, pool = found
+                kind = kinds[pool.kind]
+                fresh = Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram)
+                count = min(left, _slots(demand.shape, fresh, needs))
+                _take(demand.shape, fresh, count)
+                bins.append(fresh)
+                joined.append((pool, kind))
+                demand.zones[pool.zone] = demand.zones.get(pool.zone, 0) + 1
+                rents.append(Rent(pool, demand.shape.lane, score, at, demand.until))
+                left -= count
+    return rents
--- /dev/null
+++ b/flaxtally/fleet.py
@@ -0,0 +1,76 @@
+"""What is proven, and what is believed, about each machine."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from . import wire
+from .ledger.book import Job, Placement
+
+
+class Machine:
+    """A machine that the leader knows. `baseline`: it has reported under the present token."""
+
+    __slots__ = (
+        "address", "baseline", "booting", "cores", "draining", "errors", "failed_probes", "gpus", "heard_at",
+        "idle_since", "images", "kind", "name", "notice_until", "orders_failed", "placements", "probing", "ram",
+        "release_tried", "releasing", "rented_at", "sequence", "server", "session", "spot", "up_at", "zone",
+    )  # fmt: skip
+
+    def __init__(self, name: str, kind: str, zone: str, spot: bool, now: float) -> None:
+        self.name, self.kind, self.zone, self.spot = name, kind, zone, spot
+        self.address = ""
+        self.server: str | None = None
+        self.booting = True
+        self.baseline = False
+        self.session = self.sequence = 0
+        self.heard_at = self.rented_at = now
+        self.up_at = now
+        self.idle_since = now
+        self.notice_until: float | None = None
+        self.draining = False
+        self.releasing = False
+        self.release_tried = float("-inf")
+        self.probing = False
+        self.failed_probes = 0
+        self.orders_failed = 0
+        self.errors: dict[str, int] = {}
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.placements: dict[tuple[int, int], Placement] = {}
+        self.cores = self.gpus = self.ram = 0.0
+
+    def newer(self, session: int, sequence: int) -> bool:
+        return (session, sequence) > (self.session, self.sequence)
+
+    def use(self, placement: Placement) -> None:
+        spec = placement.job.spec
+        self.placements[placement.job.no, placement.task] = placement
+        self.cores += spec.cores
+        self.gpus += spec.gpus
+        self.ram += spec.ram
+
+    def free(self, placement: Placement, now: float) -> None:
+        spec = placement.job.spec
+        if self.placements.pop((placement.job.no, placement.task), None) is not None:
+            self.cores -= spec.cores
+            self.gpus -= spec.gpus
+            self.ram -= spec.ram
+            self.idle_since = now
+
+    def note_image(self, image: str, size: float, cache: float) -> None:
+        """Remembers the image as the most recently used; forgets what the cache no longer holds."""
+        self.images[image] = size
+        self.images.move_to_end(image)
+        total = sum(self.images.values())
+        while total > cache and len(self.images) > 1:
+            total -= self.images.popitem(last=False)[1]
+
+    def fetching(self) -> set[str]:
+        return {
+            placement.job.spec.image
+            for placement in self.placements.values()
+            if placement.state in ("", wire.FETCHING)
+        }
+
+    def has_sibling(self, job: Job) -> bool:
+        return any(no == job.no for no, _ in self.placements)
--- /dev/null
+++ b/flaxtally/intake.py
@@ -0,0 +1,162 @@
+"""The users' interface: any controller takes any request and passes it to the leader."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from . import wire
+from .actor import Actor
+from .election import Election
+from .http import Request
+from .leader import Leader
+from .loop import Runtime, Timer
+from .peers import Frame, Peers
+from .policy import Policy
+
+log = logging.getLogger(__name__)
+
+RETRY_AFTER = 1
+MOST_ASKED = 1000
+Answer = Callable[[int, Any], None]
+
+
+class Intake(Actor):
+    """Owns the questions under way between this node and the leader."""
+
+    def __init__(
+        self, runtime: Runtime, policy: Policy, election: Election, peers: Peers, leader: Leader,
+        beat: Callable[[Request], None],
+    ) -> None:  # fmt: skip
+        super().__init__(runtime)
+        self._policy, self._election, self._peers, self._leader, self._beat = policy, election, peers, leader, beat
+        self._ids = itertools.count(1)
+        self._asked: dict[int, tuple[Answer, Timer]] = {}
+
+    def handle(self, request: Request) -> None:
+        path = request.path.partition("?")[0]
+        if path == wire.BEAT:
+            self._only("POST", request, self._beat)
+        elif path == wire.UP:
+            self._only("GET", request, lambda request: request.reply(200 if self._election.able else 503))
+        elif path == wire.WORK:
+            self._only("POST", request, self._submit)
+        elif path.startswith(wire.WORK + "/"):
+            ref, _, verb = path[len(wire.WORK) + 1 :].partition("/")
+            if verb == "cancel":
+                self._only("POST", request, lambda request: self._ask("cancel", ref, self._answer(request)))
+            elif verb:
+                request.reply(404, {"error": "no such path"})
+            else:
+                self._only("GET", request, lambda request: self._ask("poll", ref, self._answer(request)))
+        else:
+            request.reply(404, {"error": "no such path"})
+
+    @staticmethod
+    def _only(method: str, request: Request, handler: Callable[[Request], None]) -> None:
+        if request.method == method:
+            handler(request)
+        else:
+            request.reply(405, {"error": f"only {method}"})
+
+    def _answer(self, request: Request) -> Answer:
+        def answer(status: int, body: Any) -> None:
+            if status in (429, 503):
+                request.reply(status, {"error": "not now"}, RETRY_AFTER)
+            else:
+                request.reply(status, body)
+
+        return answer
+
+    def _submit(self, request: Request) -> None:
+        answer = self._answer(request)
+        try:
+            wire.parse_submission(request.body)
+        except wire.BadSubmission as fault:
+            self._malformed(request, str(fault), answer)
+            return
+        self._ask("submit", request.body, answer)
+
+    def _malformed(self, request: Request, why: str, answer: Answer) -> None:
+        """A known job's submission is answered with its state, whatever its body has become."""
+        try:
+            body = msgspec.msgpack.decode(request.body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            body = None
+        ref = body.get("ref") if isinstance(body, dict) else None
+        if not isinstance(ref, str) or not wire.JOB_ID.match(ref):
+            request.reply(400, {"error": why})
+            return
+
+        def told(status: int, state: Any) -> None:
+            if status == 404:
+                request.reply(400, {"error": why})
+            else:
+                answer(status, state)
+
+        self._ask("poll", ref, told)
+
+    # To the leader
+
+    def _ask(self, what: str, subject: str | bytes, answer: Answer) -> None:
+        election = self._election
+        if election.leading:
+            self._serve(what, subject, self._once(answer))
+            return
+        leader = election.leader
+        if leader is None or not self._peers.fresh(leader) or not election.able or len(self._asked) >= MOST_ASKED:
+            answer(503, None)
+            return
+        number = next(self._ids)
+        self._asked[number] = (answer, self.later(self._policy.ask, self._unanswered, number))
+        self._peers.send(leader, {"k": "ask", "i": number, "w": what, "s": subject})
+
+    def _once(self, answer: Answer) -> Answer:
+        """The leader's own questions time out like those of others."""
+        number = next(self._ids)
+        self._asked[number] = (answer, self.later(self._policy.ask, self._unanswered, number))
+        return lambda status, body: self._told(number, status, body)
+
+    def _unanswered(self, number: int) -> None:
+        self._told(number, 503, None)
+
+    def _told(self, number: int, status: int, body: Any) -> None:
+        entry = self._asked.pop(number, None)
+        if entry is not None:
+            entry[1].cancel()
+            entry[0](status, body)
+
+    def asked(self, sender: str, frame: Frame) -> None:
+        """Another node passes a user's question on."""
+        number = frame.get("i")
+
+        def answer(status: int, body: Any) -> None:
+            self._peers.send(sender, {"k": "ans", "i": number, "s": status, "b": body})
+
+        if self._election.leading:
+            self._serve(str(frame.get("w")), frame.get("s"), answer)
+        else:
+            answer(503, None)
+
+    def answered(self, sender: str, frame: Frame) -> None:
+        self._told(frame.get("i", 0), int(frame.get("s", 503)), frame.get("b"))
+
+    def _serve(self, what: str, subject: Any, answer: Answer) -> None:
+        if what == "submit" and isinstance(subject, bytes):
+            try:
+                spec = wire.parse_submission(subject)
+            except wire.BadSubmission as fault:
+                answer(400, {"error": str(fault)})
+                return
+            self._leader.submit(spec, answer)
+        elif what == "poll" and isinstance(subject, str):
+            self._leader.poll(subject, answer)
+        elif what == "cancel" and isinstance(subject, str):
+            self._leader.cancel(subject, answer)
+        else:
+            log.warning("a question that is none: %s", what)
+            answer(400, {"error": "not a question"})
--- /dev/null
+++ b/flaxtally/ledger/book.py
@@ -0,0 +1,248 @@
+"""The ledger's content and its invariants: pure, fed by records, the same live and on replay.
+
+Records (lists whose first item names them), in the order in which they were committed:
+
+    J  no, at, *spec              a job was accepted, or begins anew as a snapshot
+    P  no, task, attempt, machine, zone   a task was placed
+    E  no, task, attempt, done    a placement is proven over; done: with its result
+    C  no                         the user cancelled the job
+    T  no, runs                   snapshot: [first, count, attempt, done] of tasks not placed
+    F  no, ref, stage             a final job, all that is kept of it
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from typing import Any
+
+import msgspec
+
+from .. import wire
+
+Record = list[Any]
+UNPLACED = 0
+
+
+class Placement:
+    """A task's attempt on a machine, from its proposal until it is proven over.
+
+    The fields after `zone` are the leader's knowledge in its present term, never the ledger's.
+    """
+
+    __slots__ = (
+        "attempt", "committed", "inherited", "job", "launch_session", "machine", "open", "proposed_at",
+        "ran_at", "seen", "sent_at", "state", "stopping_at", "task", "zone",
+    )  # fmt: skip
+
+    def __init__(self, job: Job, task: int, attempt: int, machine: str, zone: str) -> None:
+        self.job, self.task, self.attempt, self.machine, self.zone = job, task, attempt, machine, zone
+        self.committed = False
+        self.inherited = False
+        self.launch_session = 0
+        self.open = 0
+        self.seen = False
+        self.state = ""
+        self.proposed_at = 0.0
+        self.ran_at: float | None = None
+        self.sent_at = float("-inf")
+        self.stopping_at: float | None = None
+
+    @property
+    def name(self) -> str:
+        return f"{self.job.spec.ref}/{self.task}"
+
+
+class Job:
+    """A job and the states of its tasks. Tasks from `fresh` on were never touched."""
+
+    __slots__ = (
+        "at", "attempts", "cancelled", "cancelled_at", "committed", "done", "done_tasks", "fresh", "home",
+        "no", "placed", "requeued", "spec", "told",
+    )  # fmt: skip
+
+    def __init__(self, no: int, at: float, spec: wire.Spec) -> None:
+        self.no, self.at, self.spec = no, at, spec
+        self.fresh = 0
+        self.requeued: list[int] = []
+        self.attempts: dict[int, int] = {}
+        self.done_tasks: set[int] = set()
+        self.placed: dict[int, Placement] = {}
+        self.cancelled = False
+        self.done = False
+        self.committed = False
+        self.told = ""
+        self.cancelled_at = 0.0
+        self.home = 0
+
+    @property
+    def final(self) -> bool:
+        return self.done or self.cancelled
+
+    @property
+    def waiting(self) -> int:
+        return 0 if self.final else self.spec.tasks - self.fresh + len(self.requeued)
+
+    def next_task(self) -> int:
+        """The waiting task to place next; it stays waiting until it is placed."""
+        return self.requeued[0] if self.requeued else self.fresh
+
+    def zone_count(self, zone: str) -> int:
+        return sum(placement.zone == zone for placement in self.placed.values())
+
+
+class Usage:
+    """What a team's placements use."""
+
+    __slots__ = ("cores", "gpus")
+
+    def __init__(self) -> None:
+        self.cores = self.gpus = 0.0
+
+
+class BookError(Exception):
+    """A record breaks an invariant; it must not be committed, and on replay the ledger is damaged."""
+
+
+class Book:
+    """All jobs. Records that are final and without placements shrink to `finals`."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[int, Job] = {}
+        self.by_ref: dict[str, Job] = {}
+        self.finals: dict[str, str] = {}
+        self.final_home: dict[int, deque[str]] = {}
+        self.usage: dict[str, Usage] = {}
+        self.on_machine: dict[str, dict[tuple[int, int], Placement]] = {}
+        self.next_no = 1
+
+    # Records, live and on replay
+
+    def apply(self, record: Record, page: int) -> None:
+        getattr(self, "_apply_" + record[0])(page, *record[1:])
+
+    def _apply_J(self, page: int, no: int, at: float, *spec: Any) -> None:
+        old = self.jobs.get(no)
+        if old is not None:
+            for placement in list(old.placed.values()):
+                self._remove(placement)
+        job = Job(no, at, msgspec.convert(spec, wire.Spec))
+        if old is not None:
+            job.told, job.committed = old.told, old.committed
+        elif job.spec.ref in self.by_ref or job.spec.ref in self.finals:
+            raise BookError(f"job {job.spec.ref} is known")
+        job.home = page
+        self.jobs[no] = self.by_ref[job.spec.ref] = job
+        self.next_no = max(self.next_no, no + 1)
+
+    def _apply_T(self, page: int, no: int, runs: list[list[Any]]) -> None:
+        job = self.jobs[no]
+        for first, count, attempt, done in runs:
+            for task in range(first, first + count):
+                if attempt:
+                    job.attempts[task] = attempt
+                if done:
+                    job.done_tasks.add(task)
+                else:
+                    heapq.heappush(job.requeued, task)
+                job.fresh = max(job.fresh, task + 1)
+        self._settle(job)
+
+    def _apply_P(self, page: int, no: int, task: int, attempt: int, machine: str, zone: str) -> None:
+        job = self.jobs[no]
+        if task in job.placed or task in job.done_tasks or job.cancelled or attempt <= job.attempts.get(task, 0):
+            raise BookError(f"task {job.spec.ref}/{task} can't be placed as attempt {attempt}")
+        if job.requeued and job.requeued[0] == task:
+            heapq.heappop(job.requeued)
+        elif task in job.requeued:
+            job.requeued.remove(task)
+            heapq.heapify(job.requeued)
+        else:
+            for skipped in range(job.fresh, task):
+                heapq.heappush(job.requeued, skipped)
+            job.fresh = max(job.fresh, task + 1)
+        job.attempts[task] = attempt
+        placement = Placement(job, task, attempt, machine, zone)
+        job.placed[task] = placement
+        self.on_machine.setdefault(machine, {})[no, task] = placement
+        usage = self.usage.setdefault(job.spec.team, Usage())
+        usage.cores += job.spec.cores
+        usage.gpus += job.spec.gpus
+
+    def _apply_E(self, page: int, no: int, task: int, attempt: int, done: bool) -> None:
+        job = self.jobs[no]
+        placement = job.placed.get(task)
+        if placement is None or placement.attempt != attempt:
+            raise BookError(f"task {job.spec.ref}/{task} has no attempt {attempt} to end")
+        self._remove(placement)
+        if done and job.spec.kind == wire.ARRAY:
+            job.done_tasks.add(task)
+        else:
+            heapq.heappush(job.requeued, task)
+        self._settle(job)
+
+    def _apply_C(self, page: int, no: int) -> None:
+        job = self.jobs[no]
+        if job.done:
+            raise BookError(f"job {job.spec.ref} is done")
+        job.cancelled = True
+
+    def _apply_F(self, page: int, no: int, ref: str, stage: str) -> None:
+        job = self.jobs.pop(no, None)
+        if job is not None:
+            self.by_ref.pop(ref, None)
+        self.finals[ref] = stage
+        self.final_home.setdefault(page, deque()).append(ref)
+        self.next_no = max(self.next_no, no + 1)
+
+    def _remove(self, placement: Placement) -> None:
+        job = placement.job
+        del job.placed[placement.task]
+        there = self.on_machine[placement.machine]
+        del there[job.no, placement.task]
+        if not there:
+            del self.on_machine[placement.machine]
+        usage = self.usage[job.spec.team]
+        usage.cores -= job.spec.cores
+        usage.gpus -= job.spec.gpus
+
+    @staticmethod
+    def _settle(job: Job) -> None:
+        if job.spec.kind == wire.ARRAY and len(job.done_tasks) == job.spec.tasks and not job.cancelled:
+            job.done = True
+
+    # Snapshots, for pages that are cleaned
+
+    def snapshot(self, home: int) -> list[Record]:
+        """Records that say anew all that the records of page `home` still mean."""
+        records: list[Record] = []
+        for job in [job for job in self.jobs.values() if job.home == home]:
+            if job.final and not job.placed:
+                records.append(["F", job.no, job.spec.ref, wire.ABORTED if job.cancelled else wire.DONE])
+                continue
+            records.append(["J", job.no, job.at, *msgspec.to_builtins(job.spec)])
+            runs = self._runs(job)
+            records += [["T", job.no, runs[start : start + 100]] for start in range(0, len(runs), 100)]
+            for placement in job.placed.values():
+                records.append([
+                    "P", job.no, placement.task, placement.attempt, placement.machine, placement.zone,
+                ])  # fmt: skip
+            if job.cancelled:
+                records.append(["C", job.no])
+        for ref in self.final_home.get(home, ()):
+            records.append(["F", 0, ref, self.finals[ref]])
+        return records
+
+    @staticmethod
+    def _runs(job: Job) -> list[list[Any]]:
+        runs: list[list[Any]] = []
+        for task in range(job.fresh):
+            if task in job.placed:
+                continue
+            attempt, done = job.attempts.get(task, 0), task in job.done_tasks
+            last = runs[-1] if runs else None
+            if last and last[0] + last[1] == task and last[2] == attempt and last[3] == done:
+                last[1] += 1
+            else:
+                runs.append([task, 1, attempt, done])
+        return runs
--- /dev/null
+++ b/flaxtally/ledger/commit.py
@@ -0,0 +1,249 @@
+"""Group commit of the ledger's records to pages at the state service.
+
+Records are appended to pages `p/00000001`, `p/00000002`, … in order; a transaction rewrites the page
+that is being filled and creates those that follow. One transaction is under way at a time, each guards
+the leader key's version and the versions of the pages it writes, so a late or repeated copy, or one of
+a deposed leader, fails. Memory (the `Book`) takes a record when it is proposed; whatever may be *seen*
+of it (answers, launches) waits for its `then`, which is called after the commit only.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from .. import wire
+from ..actor import Actor
+from ..cloud import Bucket
+from ..election import LEAD
+from ..loop import Runtime
+from ..store import Outcome, Store
+from .book import Book, Record
+
+log = logging.getLogger(__name__)
+
+PAGES = "p/"
+TXN_BYTES = 56 * 1024
+Then = Callable[[], None]
+
+
+def page_key(number: int) -> str:
+    return f"{PAGES}{number:08d}"
+
+
+class Ledger(Actor):
+    """Owns the pages. `lost` is called when somebody else leads."""
+
+    def __init__(
+        self, runtime: Runtime, store: Store, write_rps: float, value_bytes: int, txn_ops: int, retry: float,
+        lost: Callable[[], None],
+    ) -> None:  # fmt: skip
+        super().__init__(runtime)
+        self._store, self._retry, self._lost = store, retry, lost
+        self._page_bytes = value_bytes * 7 // 8
+        self._most_pages = max(1, min(txn_ops - 2, TXN_BYTES // value_bytes))
+        self._bucket = Bucket(runtime, write_rps * 0.85, max(self._most_pages, write_rps * 0.5))
+        self.generation = 0
+        self._reset(0)
+
+    def _reset(self, version: int) -> None:
+        self.generation += 1
+        self._version = version
+        self.book = Book()
+        self._queue: deque[tuple[Record, int, Then | None]] = deque()
+        self._thens: list[Then] = []
+        self._pages: dict[int, int] = {}
+        self._filling = 1
+        self._content: list[Record] = []
+        self._size = 0
+        self._busy = self._armed = False
+        self._confirms: list[Callable[[bool], None]] = []
+        self._confirming = False
+        self._first = 1
+
+    def close(self) -> None:
+        """This node leads no more: what waited is dropped, and those who asked are told so."""
+        waiting = self._confirms
+        self._reset(0)
+        for done in waiting:
+            done(False)
+
+    def open(self, version: int, ready: Then) -> None:
+        """Reads all pages under a leader key of this version. Writes of earlier leaders fail from
+        the takeover on, so what is read is final."""
+        self._reset(version)
+        generation = self.generation
+
+        def read() -> None:
+            self._store.rows(PAGES, told)
+
+        def told(rows: list[wire.Row] | None) -> None:
+            if generation != self.generation:
+                return
+            if rows is None:
+                self.later(self._retry, read)
+                return
+            for row in rows:
+                number = int(row.key[len(PAGES) :])
+                self._pages[number] = row.version
+                for record in row.value["r"]:
+                    self.book.apply(record, number)
+            for job in self.book.jobs.values():
+                job.committed = True
+                job.told = wire.ABORTED if job.cancelled else wire.DONE if job.done else ""
+                for placement in job.placed.values():
+                    placement.committed = placement.inherited = True
+            self._first = min(self._pages, default=1)
+            self._filling = max(self._pages, default=0) + 1
+            log.info("event=ledger_read pages=%d jobs=%d", len(rows), len(self.book.jobs))
+            ready()
+
+        read()
+
+    def propose(self, record: Record, then: Then | None = None) -> None:
+        """Applies the record to the book and commits it soon; `then` follows the commit."""
+        size = len(msgspec.json.encode(record)) + 1
+        if self._size and self._size + size > self._page_bytes:
+            self._filling += 1
+            self._size = 0
+        self.book.apply(record, self._filling)
+        self._size += size
+        self._queue.append((record, self._filling, then))
+        self._arm()
+
+    @property
+    def backlog(self) -> int:
+        return len(self._queue)
+
+    def _arm(self) -> None:
+        if not self._armed and not self._busy:
+            self._armed = True
+            self.later(self._bucket.wait(1.0), self._commit, self.generation)
+
+    def _commit(self, generation: int) -> None:
+        if generation != self.generation:
+            return
+        self._armed = False
+        if self._busy or not self._queue:
+            return
+        first = self._queue[0][1]
+        last = self._queue[-1][1]
+        cost = min(last - first + 1, self._most_pages)
+        if self._bucket.wait(cost) > 0:
+            self._armed = True
+            self.later(self._bucket.wait(cost), self._commit, generation)
+            return
+        pages: dict[int, list[Record]] = {}
+        if self._content and first == self._content_page:
+            pages[first] = self._content
+        thens: list[Then] = []
+        while self._queue and (self._queue[0][1] in pages or len(pages) < self._most_pages):
+            record, page, then = self._queue.popleft()
+            pages.setdefault(page, []).append(record)
+            if then is not None:
+                thens.append(then)
+        self._thens = thens
+        guards = {LEAD: self._version}
+        puts: dict[str, Any] = {}
+        for page, records in pages.items():
+            guards[page_key(page)] = self._pages.get(page, 0)
+            puts[page_key(page)] = {"r": records}
+        drops: list[str] = []
+        self._bucket.take(len(pages))
+        self._content_page = max(pages)
+        self._content = pages[self._content_page]
+        self._busy = True
+        self._send(generation, guards, puts, drops, list(pages), False)
+
+    _content_page = 0
+
+    def _send(
+        self, generation: int, guards: dict[str, int], puts: dict[str, Any], drops: list[str],
+        pages: list[int], unsure: bool,
+    ) -> None:  # fmt: skip
+        def again(unsure: bool) -> None:
+            if generation == self.generation:
+                self._send(generation, guards, puts, drops, pages, unsure)
+
+        def told(outcome: Outcome, revision: int) -> None:
+            if generation != self.generation:
+                return
+            if outcome is Outcome.DONE:
+                self._committed(pages, revision)
+            elif outcome is Outcome.FAILED and unsure:
+                # The first copy may have been applied although its answer was lost: read back.
+                self._read_back(generation, guards, puts, drops, pages)
+            elif outcome is Outcome.FAILED:
+                log.info("event=commit_refused pages=%s", pages)
+                self._lost()
+            else:
+                self._bucket.take(len(pages))
+                delay = max(self._retry / 4, self._bucket.wait(len(pages)))
+                self.later(delay, again, unsure or outcome is Outcome.UNKNOWN)
+
+        self._store.transact(guards, puts, drops, told, commit=True)
+
+    def _read_back(
+        self, generation: int, guards: dict[str, int], puts: dict[str, Any], drops: list[str], pages: list[int]
+    ) -> None:
+        key = page_key(pages[-1])
+
+        def told(known: bool, row: wire.Row | None) -> None:
+            if generation != self.generation:
+                return
+            if not known:
+                self.later(self._retry, self._read_back, generation, guards, puts, drops, pages)
+            elif row is not None and row.version != guards[key] and row.value == puts[key]:
+                self._committed(pages, row.version)
+            else:
+                self._lost()
+
+        self._store.get(key, told)
+
+    def _committed(self, pages: list[int], revision: int) -> None:
+        for page in pages:
+            self._pages[page] = revision
+        self._busy = False
+        thens, self._thens = self._thens, []
+        for then in thens:
+            self.runtime.soon(self._then, self.generation, then)
+        if self._queue:
+            self._arm()
+
+    def _then(self, generation: int, then: Then) -> None:
+        if generation == self.generation:
+            then()
+
+    # Leadership confirmed after a question
+
+    def confirm(self, done: Callable[[bool], None]) -> None:
+        """`done(True)` once a compare-only transaction, sent after this call, shows that we lead."""
+        self._confirms.append(done)
+        if not self._confirming:
+            self._confirming = True
+            self.later(0.005, self._ask, self.generation)
+
+    def _ask(self, generation: int) -> None:
+        if generation != self.generation:
+            return
+        asked, self._confirms = self._confirms, []
+
+        def told(outcome: Outcome, _: int) -> None:
+            if generation != self.generation:
+                for done in asked:
+                    done(False)
+                return
+            for done in asked:
+                done(outcome is Outcome.DONE)
+            if outcome is Outcome.FAILED:
+                self._lost()
+            elif self._confirms:
+                self.later(0.01, self._ask, generation)
+            else:
+                self._confirming = False
+
+        self._store.transact({LEAD: self._version}, {}, [], told)
--- /dev/null
+++ b/flaxtally/loop.py
@@ -0,0 +1,233 @@
+"""The selector loop: timers, streams, listeners.
+
+Everything above this module sees time and sockets only through a `Loop` (or the tests' simulated
+one, which has the same methods), so the same controllers run on a real clock and on an injected one.
+"""
+
+from __future__ import annotations
+
+import errno
+import heapq
+import itertools
+import logging
+import selectors
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+READ = 65536
+
+
+class Timer:
+    """A call to come; `cancel` makes it never come."""
+
+    __slots__ = ("args", "fn", "live", "when")
+
+    def __init__(self, when: float, fn: Callable[..., None], args: tuple[Any, ...]) -> None:
+        self.when, self.fn, self.args, self.live = when, fn, args, True
+
+    def cancel(self) -> None:
+        self.live = False
+
+
+class Stream(Protocol):
+    """A byte stream: bytes sent before it opens are kept; `on_close` comes once, whoever closed."""
+
+    on_data: Callable[[bytes], None]
+    on_close: Callable[[], None]
+
+    def send(self, data: bytes) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Runtime(Protocol):
+    """What actors may ask of the world: the time, a call later, a connection."""
+
+    def now(self) -> float: ...
+
+    def wall(self) -> float: ...
+
+    def after(self, delay: float, fn: Callable[..., None], *args: Any) -> Timer: ...
+
+    def soon(self, fn: Callable[..., None], *args: Any) -> None: ...
+
+    def listen(self, address: Address, accept: Callable[[Stream], None]) -> None: ...
+
+    def connect(self, address: Address) -> Stream: ...
+
+
+def _nothing(*_: Any) -> None:
+    """The callback of a stream that nobody listens to any more."""
+
+
+class SocketStream:
+    """A non-blocking TCP socket on the loop."""
+
+    __slots__ = ("_events", "_loop", "_open", "_out", "_sock", "on_close", "on_data")
+
+    def __init__(self, loop: Loop, sock: socket.socket, connected: bool) -> None:
+        self._loop, self._sock, self._open = loop, sock, connected
+        self._out = bytearray()
+        self.on_data: Callable[[bytes], None] = _nothing
+        self.on_close: Callable[[], None] = _nothing
+        self._events = selectors.EVENT_READ if connected else selectors.EVENT_WRITE
+        loop.selector.register(sock, self._events, self._ready)
+
+    def send(self, data: bytes) -> None:
+        if self._events == 0:
+            return
+        if self._open and not self._out:
+            try:
+                sent = self._sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError:
+                self._loop.soon(self._finish)
+                return
+            data = data[sent:]
+        if data:
+            self._out += data
+            self._watch(selectors.EVENT_READ | selectors.EVENT_WRITE if self._open else selectors.EVENT_WRITE)
+
+    def close(self) -> None:
+        """Closes at once; the owner asked for it, so `on_close` does not come."""
+        self.on_close = self.on_data = _nothing
+        self._finish()
+
+    def _watch(self, events: int) -> None:
+        if events != self._events:
+            self._events = events
+            self._loop.selector.modify(self._sock, events, self._ready)
+
+    def _finish(self) -> None:
+        if self._events == 0:
+            return
+        self._events = 0
+        self._loop.selector.unregister(self._sock)
+        self._sock.close()
+        told, self.on_close, self.on_data = self.on_close, _nothing, _nothing
+        told()
+
+    def _ready(self, mask: int) -> None:
+        if not self._open:
+            if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self._finish()
+                return
+            self._open = True
+            self._flush()
+            return
+        if mask & selectors.EVENT_WRITE:
+            self._flush()
+        if mask & selectors.EVENT_READ and self._events:
+            try:
+                data = self._sock.recv(READ)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                data = b""
+            if data:
+                self.on_data(data)
+            else:
+                self._finish()
+
+    def _flush(self) -> None:
+        try:
+            sent = self._sock.send(self._out) if self._out else 0
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        except OSError:
+            self._finish()
+            return
+        del self._out[:sent]
+        self._watch(selectors.EVENT_READ | selectors.EVENT_WRITE if self._out else selectors.EVENT_READ)
+
+
+class Loop:
+    """One thread, one selector. An exception in a callback is logged and ends nothing else."""
+
+    def __init__(self) -> None:
+        self.selector = selectors.DefaultSelector()
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+        self._soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
+        self._running = False
+        self.now = time.monotonic
+        self.wall = time.time
+
+    def after(self, delay: float, fn: Callable[..., None], *args: Any) -> Timer:
+        timer = Timer(self.now() + delay, fn, args)
+        heapq.heappush(self._timers, (timer.when, next(self._order), timer))
+        return timer
+
+    def soon(self, fn: Callable[..., None], *args: Any) -> None:
+        self._soon.append((fn, args))
+
+    def listen(self, address: Address, accept: Callable[[Stream], None]) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(256)
+        sock.setblocking(False)
+
+        def ready(_: int) -> None:
+            try:
+                peer, _address = sock.accept()
+            except OSError as fault:
+                if fault.errno in (errno.EMFILE, errno.ENFILE):
+                    log.warning("no sockets left to accept with")
+                return
+            accept(self._stream(peer, True))
+
+        self.selector.register(sock, selectors.EVENT_READ, ready)
+
+    def connect(self, address: Address) -> Stream:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.connect_ex(address)
+        return self._stream(sock, False)
+
+    def _stream(self, sock: socket.socket, connected: bool) -> SocketStream:
+        sock.setblocking(False)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            log.debug("no TCP_NODELAY here")
+        return SocketStream(self, sock, connected)
+
+    def run(self) -> None:
+        self._running = True
+        while self._running:
+            self._turn()
+
+    def stop(self) -> None:
+        self._running = False
+
+    def _turn(self) -> None:
+        wait: float | None = None
+        if self._soon:
+            wait = 0.0
+        elif self._timers:
+            wait = max(0.0, self._timers[0][0] - self.now())
+        for key, mask in self.selector.select(wait):
+            self._call(key.data, (mask,))
+        now = self.now()
+        while self._timers and self._timers[0][0] <= now:
+            timer = heapq.heappop(self._timers)[2]
+            if timer.live:
+                self._call(timer.fn, timer.args)
+        for _ in range(len(self._soon)):
+            fn, args = self._soon.popleft()
+            self._call(fn, args)
+
+    @staticmethod
+    def _call(fn: Callable[..., None], args: tuple[Any, ...]) -> None:
+        try:
+            fn(*args)
+        except Exception:
+            log.exception("a callback failed; the loop goes on")
--- /dev/null
+++ b/flaxtally/node.py
@@ -0,0 +1,68 @@
+"""A controller: wires the actors."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+from .cloud import Cloud
+from .dispatch import Dispatch
+from .election import Election
+from .http import Server
+from .intake import Intake
+from .leader import Leader
+from .ledger.commit import Ledger
+from .loop import Runtime
+from .peers import Frame, Peers
+from .policy import Policy
+from .settings import Settings
+from .store import Store
+from .workers import Workers
+
+log = logging.getLogger(__name__)
+
+# Of the sockets: this share may be taken by users and workers; the rest is for what we dial.
+ACCEPTED_SHARE = 0.6
+
+
+class Node:
+    """All actors of one controller on one runtime."""
+
+    def __init__(self, runtime: Runtime, settings: Settings, policy: Policy, rng: random.Random) -> None:
+        store = Store(runtime, settings.state, policy.call)
+        cloud = Cloud(runtime, settings.cloud, settings.cloud_rps, policy.call * 2)
+        workers = Workers(runtime, policy.order_call)
+        self.peers = Peers(
+            runtime, settings.node, settings.peer_listen,
+            {name: address for name, (_, address) in settings.peers.items()}, policy.peer_silence, self._receive,
+        )  # fmt: skip
+        self.election = Election(
+            runtime, settings.node, policy, store, self.peers, rng,
+            lambda term, version: self.leader.tell("begin", term, version), lambda: self.leader.tell("end"),
+        )  # fmt: skip
+        self.dispatch = Dispatch(runtime, settings, policy, self.election, self.peers, workers, store)
+        self.ledger = Ledger(
+            runtime, store, settings.state_write_rps, settings.value_bytes, settings.txn_ops, policy.retry,
+            self.election.depose,
+        )  # fmt: skip
+        self.leader = Leader(
+            runtime, settings, policy, self.ledger, cloud, self.election, self.dispatch,
+            self.dispatch.heard_elsewhere, rng,
+        )  # fmt: skip
+        self.dispatch.deliver_to(self.leader.on_report)
+        self.intake = Intake(runtime, policy, self.election, self.peers, self.leader, self.dispatch.beat)
+        self._frames = {
+            "hb": self.election.heartbeat, "rep": self.dispatch.forwarded, "ord": self.dispatch.order,
+            "done": self.dispatch.carried, "ask": self.intake.asked, "ans": self.intake.answered,
+        }  # fmt: skip
+        Server(
+            runtime, settings.listen, self.intake.handle, int(settings.max_sockets * ACCEPTED_SHARE),
+            settings.lease_s * 3, policy.retry,
+        )  # fmt: skip
+        self.election.start()
+        log.info("event=start node=%s zone=%s", settings.node, settings.zone)
+
+    def _receive(self, sender: str, frame: Frame) -> None:
+        handler = self._frames.get(frame["k"])
+        if handler is not None:
+            handler(sender, frame)
--- /dev/null
+++ b/flaxtally/peers.py
@@ -0,0 +1,137 @@
+"""Links between controllers: length-prefixed cbor2 frames, heartbeats, the live view.
+
+Each node dials each other node and speaks only on the connection it dialled; what it accepted it
+only reads. A frame may be lost with its connection, or held by the network and come minutes late:
+those who send and receive must be safe under both.
+"""
+
+from __future__ import annotations
+
+import logging
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+from .actor import Actor
+from .loop import Address, Runtime, Stream
+
+log = logging.getLogger(__name__)
+
+FRAME_LIMIT = 1 << 20
+_length = struct.Struct(">I")
+Frame = dict[str, Any]
+
+
+def encode(frame: Frame) -> bytes:
+    body = cbor2.dumps(frame)
+    return _length.pack(len(body)) + body
+
+
+class Frames:
+    """Cuts a byte stream into frames; raises ValueError on nonsense."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Frame]:
+        self._buffer += data
+        found: list[Frame] = []
+        while len(self._buffer) >= 4:
+            size = _length.unpack_from(self._buffer)[0]
+            if size > FRAME_LIMIT:
+                raise ValueError("frame too long")
+            if len(self._buffer) < 4 + size:
+                break
+            try:
+                frame = cbor2.loads(bytes(self._buffer[4 : 4 + size]))
+            except (cbor2.CBORDecodeError, ValueError, TypeError) as fault:
+                raise ValueError(str(fault)) from None
+            del self._buffer[: 4 + size]
+            if not isinstance(frame, dict) or not isinstance(frame.get("k"), str):
+                raise ValueError("not a frame")
+            found.append(frame)
+        return found
+
+
+class _Link:
+    """The connection dialled to one peer."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.stream: Stream | None = None
+        self.dialled_at = float("-inf")
+
+
+class Peers(Actor):
+    """Owns the links. `heard[node]` is when a frame of that node last came."""
+
+    def __init__(
+        self, runtime: Runtime, node: str, listen: Address, others: dict[str, Address],
+        silence: float, receive: Callable[[str, Frame], None],
+    ) -> None:  # fmt: skip
+        super().__init__(runtime)
+        self._node, self._silence, self._receive = node, silence, receive
+        self._links = {name: _Link(address) for name, address in others.items()}
+        self.heard: dict[str, float] = {name: float("-inf") for name in others}
+        runtime.listen(listen, self._accept)
+
+    def fresh(self, node: str) -> bool:
+        return node == self._node or self.runtime.now() - self.heard.get(node, float("-inf")) < self._silence
+
+    def send(self, node: str, frame: Frame) -> None:
+        """Sends if the link is up or can be dialled; no promise that it arrives."""
+        link = self._links.get(node)
+        if link is None:
+            return
+        now = self.runtime.now()
+        stale = now - self.heard[node] > 2 * self._silence and now - link.dialled_at > 2 * self._silence
+        if link.stream is not None and stale:
+            # A cut may hold packets for minutes: what waits in the old connection is better lost.
+            link.stream.close()
+            link.stream = None
+        if link.stream is None:
+            if now - link.dialled_at < self._silence / 4:
+                return
+            link.dialled_at = now
+            link.stream = self.runtime.connect(link.address)
+            link.stream.on_close = lambda: self._lost(link)
+            link.stream.send(encode({"k": "hello", "node": self._node}))
+        link.stream.send(encode(frame))
+
+    def broadcast(self, frame: Frame) -> None:
+        for node in self._links:
+            self.send(node, frame)
+
+    @staticmethod
+    def _lost(link: _Link) -> None:
+        link.stream = None
+
+    def _accept(self, stream: Stream) -> None:
+        frames = Frames()
+        sender: list[str] = []
+
+        def data(piece: bytes) -> None:
+            try:
+                found = frames.feed(piece)
+            except ValueError as fault:
+                log.warning("peer sent nonsense: %s", fault)
+                stream.close()
+                return
+            for frame in found:
+                if not sender:
+                    node = frame.get("node")
+                    if frame["k"] != "hello" or node not in self._links:
+                        log.warning("a peer did not say who it is")
+                        stream.close()
+                        return
+                    sender.append(str(node))
+                    continue
+                self.heard[sender[0]] = self.runtime.now()
+                try:
+                    self._receive(sender[0], frame)
+                except Exception:
+                    log.exception("frame %s of %s failed", frame.get("k"), sender[0])
+
+        stream.on_data = data
--- /dev/null
+++ b/flaxtally/policy/__init__.py
@@ -0,0 +1,59 @@
+"""The operators' settings: what the platform's file leaves open, as ratios to its figures."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..settings import Settings
+
+
+@dataclass(frozen=True)
+class Policy:
+    """Times in seconds. Each is derived from the platform's settings by `default`."""
+
+    heartbeat: float
+    peer_silence: float
+    leader_hold: float
+    probe: float
+    call: float
+    order_call: float
+    machine_suspect: float
+    machine_silence: float
+    settle: float
+    unattended: float
+    cancel_patience: float
+    plan_step: float
+    plan_horizon: float
+    plan_lead: float
+    cool_down: float
+    pool_rest: float
+    boot_patience: float
+    retry: float
+    ask: float
+    sample: int
+
+
+def default(settings: Settings) -> Policy:
+    report, lease, cancel = settings.report_s, settings.lease_s, settings.cancel_s
+    return Policy(
+        heartbeat=report / 6,
+        peer_silence=report * 2 / 3,
+        leader_hold=lease * 0.4,
+        probe=report * 2 / 3,
+        call=report,
+        order_call=report * 4 / 3,
+        machine_suspect=report * 2.2,
+        machine_silence=report * 4,
+        settle=lease,
+        unattended=max(lease / 2, (cancel - lease) * 0.85),
+        cancel_patience=cancel / 2,
+        plan_step=lease / 4,
+        plan_horizon=lease * 30,
+        plan_lead=lease * 6,
+        cool_down=lease * 3,
+        pool_rest=lease * 2,
+        boot_patience=3.0,
+        retry=report / 3,
+        ask=report,
+        sample=24,
+    )
--- /dev/null
+++ b/flaxtally/store.py
@@ -0,0 +1,141 @@
+"""Client of the state service: typed calls, one outcome each.
+
+Outcomes keep apart what matters to a writer: done, a guard that failed, surely not executed
+(refused), and unknown (it may have been executed, or may yet be).
+"""
+
+from __future__ import annotations
+
+import enum
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from . import wire
+from .http import Client, Reply
+from .loop import Address, Runtime
+
+log = logging.getLogger(__name__)
+
+_row = msgspec.msgpack.Decoder(wire.Row)
+_rows = msgspec.msgpack.Decoder(wire.Rows)
+_revision = msgspec.msgpack.Decoder(wire.Revision)
+_hold = msgspec.msgpack.Decoder(wire.Hold)
+
+
+class Outcome(enum.Enum):
+    """How a transaction ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Store:
+    """Keys, transactions and leases. `contact` is when the service last answered for real."""
+
+    def __init__(self, runtime: Runtime, address: Address, timeout: float) -> None:
+        self._runtime, self._timeout = runtime, timeout
+        self._client = Client(runtime, address, most=4)
+        self._commits = Client(runtime, address, most=1)
+        self.contact = float("-inf")
+
+    def get(self, key: str, done: Callable[[bool, wire.Row | None], None]) -> None:
+        """`done(True, row or None)`, or `done(False, None)` when the service can't tell."""
+
+        def told(reply: Reply) -> None:
+            if self._served(reply) and reply.status in (200, 404):
+                try:
+                    done(True, _row.decode(reply.body) if reply.status == 200 else None)
+                    return
+                except msgspec.DecodeError as fault:
+                    log.warning("state service: %s", fault)
+            done(False, None)
+
+        self._client.request("GET", f"{wire.STORE}/{key}", None, self._timeout, told)
+
+    def rows(self, prefix: str, done: Callable[[list[wire.Row] | None], None]) -> None:
+        """All rows with the prefix, over as many calls as it takes; None when one fails."""
+        found: list[wire.Row] = []
+
+        def told(reply: Reply) -> None:
+            if not self._served(reply) or reply.status != 200:
+                done(None)
+                return
+            try:
+                page = _rows.decode(reply.body)
+            except msgspec.DecodeError as fault:
+                log.warning("state service: %s", fault)
+                done(None)
+                return
+            found.extend(page.rows)
+            if page.more and page.rows:
+                ask(page.rows[-1].key)
+            else:
+                done(found)
+
+        def ask(after: str | None) -> None:
+            path = wire.rows_path(prefix, after, 500)
+            self._client.request("GET", path, None, self._timeout * 2, told)
+
+        ask(None)
+
+    def transact(
+        self, guards: dict[str, int], puts: dict[str, Any], drops: list[str],
+        done: Callable[[Outcome, int], None], lease: int | None = None, commit: bool = False,
+    ) -> None:  # fmt: skip
+        """`done(outcome, revision)`; the revision is that of the change when it was done.
+
+        `commit` puts it on the connection kept for the ledger's commits."""
+
+        def told(reply: Reply) -> None:
+            if self._served(reply):
+                if reply.status == 200:
+                    try:
+                        done(Outcome.DONE, _revision.decode(reply.body).revision)
+                        return
+                    except msgspec.DecodeError as fault:
+                        log.warning("state service: %s", fault)
+                elif reply.status == 409:
+                    done(Outcome.FAILED, 0)
+                    return
+            if reply.status in (400, 429, 503):
+                if reply.status == 400:
+                    log.warning("state service refused a transaction: %r", reply.body[:200])
+                done(Outcome.REFUSED, 0)
+            else:
+                done(Outcome.UNKNOWN, 0)
+
+        client = self._commits if commit else self._client
+        client.request("POST", wire.TXN, wire.txn(guards, puts, drops, lease), self._timeout, told)
+
+    def hold(self, life: float, done: Callable[[int | None], None]) -> None:
+        def told(reply: Reply) -> None:
+            lease = None
+            if self._served(reply) and reply.status in (200, 201):
+                try:
+                    lease = _hold.decode(reply.body).lease
+                except msgspec.DecodeError as fault:
+                    log.warning("state service: %s", fault)
+            done(lease)
+
+        self._client.request("POST", wire.HOLDS, wire.hold_body(life), self._timeout, told)
+
+    def extend(self, lease: int, done: Callable[[bool | None], None]) -> None:
+        """`done(True)` extended, `done(False)` the lease has ended, `done(None)` unknown."""
+
+        def told(reply: Reply) -> None:
+            self._served(reply)
+            done({200: True, 404: False}.get(reply.status))
+
+        self._client.request("POST", f"{wire.HOLDS}/{lease}/extend", None, self._timeout, told)
+
+    def _served(self, reply: Reply) -> bool:
+        """Whether the service really answered (429 and 503 are refusals)."""
+        served = reply.status in (200, 201, 404, 409, 410)
+        if served:
+            self.contact = self._runtime.now()
+        return served
--- /dev/null
+++ b/flaxtally/wire.py
@@ -0,0 +1,279 @@
+"""The protocol's messages. This module alone has the wire's words; all else uses the field's terms.
+
+Each Struct names its fields as the rest of the package does and renames them for the wire.
+Decoding checks types; `parse_submission` also checks ranges.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import Any
+
+import msgspec
+
+JOB_ID = re.compile(r"j-[0-9]{1,18}\Z")
+MOST_TASKS = 100_000
+
+WORK, BEAT, ORDERS, STATUS, UP = "/work", "/agent/beat", "/orders", "/status", "/up"
+CATALOG, RENTALS, RELEASE = "/catalog", "/rentals", "/rentals/release"
+STORE, TXN, HOLDS = "/store", "/txn", "/holds"
+
+ARRAY, SERVICE = "array", "daemon"
+RANKS = {"critical": 0, "high": 1, "standard": 2, "idle": 3}
+PENDING, RUNNING, DONE, ABORTED = "pending", "running", "done", "aborted"
+FETCHING, FLUSHING, EXITED = "fetching", "flushing", "exited"
+CAUSE_DONE, CAUSE_ERROR, CAUSE_FULL, CAUSE_IN_USE, CAUSE_UNKNOWN = "done", "error", "full", "in_use", "unknown"
+FAILED, BOOTING = "failed", "booting"
+
+
+class Spec(msgspec.Struct, frozen=True, array_like=True):
+    """What a user asked for. As an array it is also the form that the ledger keeps."""
+
+    ref: str
+    lane: str
+    team: str
+    kind: str
+    rank: str
+    tasks: int
+    cores: float
+    gpus: float
+    ram: float
+    image: str
+    image_gb: float
+    types: tuple[str, ...] | None
+    zone: str | None
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate: float
+    checkpoint: float
+    save: float
+    deadline: float | None
+
+
+class Submission(msgspec.Struct, rename={
+    "team": "crew", "kind": "craft", "tasks": "hands", "gpus": "cards", "ram": "ramGb", "image": "mold",
+    "image_gb": "sizeGb", "types": "breeds", "zone": "yard", "one_zone": "samePlace", "spread": "scatter",
+    "spot": "loaner", "estimate": "reckonS", "checkpoint": "stashEveryS", "save": "stashS",
+    "deadline": "dueS",
+}):  # fmt: skip
+    """A submission as it is sent."""
+
+    ref: str
+    lane: str
+    team: str
+    kind: str
+    rank: str
+    tasks: int
+    cores: float
+    gpus: float
+    ram: float
+    image: str
+    image_gb: float
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate: float
+    checkpoint: float
+    save: float
+    types: tuple[str, ...] | None = None
+    zone: str | None = None
+    deadline: float | None = None
+
+
+class TaskReport(msgspec.Struct, rename={"task": "hand", "attempt": "try", "state": "stage"}):
+    """One task in a worker's report."""
+
+    task: str
+    attempt: int
+    state: str
+    cause: str | None = None
+    kept: bool = False
+
+
+class Report(msgspec.Struct, rename={
+    "machine": "rig", "type": "breed", "zone": "yard", "spot": "loaner", "session": "shift",
+    "sequence": "tally", "token": "baton", "notice": "warningS", "tasks": "hands",
+}):  # fmt: skip
+    """A worker's report."""
+
+    machine: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    sequence: int
+    token: int
+    tasks: list[TaskReport]
+    notice: float | None = None
+
+
+class MachineType(msgspec.Struct, rename={
+    "name": "label", "gpus": "cards", "ram": "ramGb", "cache": "cacheGb", "fetch_rate": "pullGbPerS",
+    "price": "hourly", "spot_price": "spotPrice", "boot": "bootS", "zones": "yards",
+}):  # fmt: skip
+    """A machine type of the catalogue."""
+
+    name: str
+    cores: float
+    gpus: float
+    ram: float
+    cache: float
+    fetch_rate: float
+    price: float
+    spot_price: float
+    boot: float
+    zones: list[str]
+
+
+class Catalog(msgspec.Struct, rename={"types": "breeds"}):
+    types: list[MachineType]
+
+
+class Rented(msgspec.Struct, rename={"machines": "rigs"}):
+    machines: list[str]
+
+
+class Listed(msgspec.Struct, rename={
+    "machine": "ref", "type": "breed", "zone": "yard", "spot": "loaner", "state": "stage", "age": "ageS",
+}):  # fmt: skip
+    """A machine as the cloud lists it."""
+
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    state: str
+    age: float
+    address: str | None = None
+
+
+class Listing(msgspec.Struct, rename={"machines": "rigs", "more": "hasNext"}):
+    machines: list[Listed]
+    more: bool = False
+
+
+class Row(msgspec.Struct, rename={"key": "k", "value": "v", "version": "stamp"}):
+    key: str
+    value: Any
+    version: int
+
+
+class Rows(msgspec.Struct, rename={"rows": "rows", "more": "hasNext"}):
+    rows: list[Row]
+    more: bool = False
+
+
+class Revision(msgspec.Struct, rename={"revision": "ledger"}):
+    revision: int
+
+
+class Hold(msgspec.Struct, rename={"lease": "tenure"}):
+    lease: int
+
+
+class BadSubmission(Exception):
+    """The submission is malformed; the text says which field."""
+
+
+_submission = msgspec.msgpack.Decoder(Submission)
+
+
+def parse_submission(body: bytes) -> Spec:
+    """Decodes and checks a submission, or raises `BadSubmission`."""
+    try:
+        sent = _submission.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+        raise BadSubmission(str(fault)) from None
+    if not JOB_ID.match(sent.ref):
+        raise BadSubmission("ref: not of the form j-000412")
+    if sent.kind not in (ARRAY, SERVICE):
+        raise BadSubmission("craft: unknown")
+    if sent.rank not in RANKS:
+        raise BadSubmission("rank: unknown")
+    if not 1 <= sent.tasks <= MOST_TASKS:
+        raise BadSubmission(f"hands: not within 1 to {MOST_TASKS}")
+    amounts = (sent.cores, sent.gpus, sent.ram, sent.image_gb, sent.estimate, sent.checkpoint, sent.save)
+    if sent.deadline is not None:
+        amounts += (sent.deadline,)
+    if not all(math.isfinite(amount) and amount >= 0 for amount in amounts):
+        raise BadSubmission("an amount is negative or not finite")
+    if any(len(text) > 200 for text in (sent.lane, sent.team, sent.image, sent.zone or "", *(sent.types or ()))):
+        raise BadSubmission("a name is too long")
+    if sent.types is not None and len(sent.types) > 50:
+        raise BadSubmission("breeds: too many")
+    return Spec(
+        sent.ref, sent.lane, sent.team, sent.kind, sent.rank, sent.tasks, sent.cores, sent.gpus, sent.ram,
+        sent.image, sent.image_gb, sent.types, sent.zone, sent.one_zone, sent.spread, sent.spot,
+        sent.estimate, sent.checkpoint, sent.save, sent.deadline,
+    )  # fmt: skip
+
+
+def job_status(ref: str, stage: str, done: int | None = None, running: int | None = None) -> dict[str, Any]:
+    """What a user is told of a job."""
+    status: dict[str, Any] = {"ref": ref, "stage": stage}
+    if done is not None:
+        status["done"], status["running"] = done, running
+    return status
+
+
+def launch(task: str, attempt: int) -> dict[str, Any]:
+    return {"verb": "launch", "hand": task, "try": attempt}
+
+
+def stop(task: str, attempt: int, grace: float) -> dict[str, Any]:
+    return {"verb": "stop", "hand": task, "try": attempt, "leewayS": grace}
+
+
+def forget(task: str, attempt: int) -> dict[str, Any]:
+    return {"verb": "reap", "hand": task, "try": attempt}
+
+
+def orders_body(token: int, session: int, orders: list[dict[str, Any]]) -> dict[str, Any]:
+    return {"baton": token, "shift": session, "orders": orders}
+
+
+def beat_answer(token: int) -> dict[str, Any]:
+    """The answer to a report: it renews the lease and gives no orders (those go directly)."""
+    return {"baton": token, "orders": []}
+
+
+def report_elsewhere(node: str | None) -> dict[str, Any]:
+    return {} if node is None else {"foreman": node}
+
+
+def rental(request: str, kind: str, zone: str, spot: bool, count: int) -> dict[str, Any]:
+    return {"hire": request, "breed": kind, "yard": zone, "loaner": spot, "number": count}
+
+
+def release(machines: list[str]) -> dict[str, Any]:
+    return {"rigs": machines}
+
+
+def txn(guards: dict[str, int], puts: dict[str, Any], drops: list[str], lease: int | None = None) -> dict[str, Any]:
+    """A transaction; `lease` is attached to every key that it puts."""
+    apply: list[dict[str, Any]] = []
+    for key, value in puts.items():
+        change: dict[str, Any] = {"put": key, "v": value}
+        if lease is not None:
+            change["tenure"] = lease
+        apply.append(change)
+    apply += [{"drop": key} for key in drops]
+    body: dict[str, Any] = {"guards": [{"k": key, "stamp": version} for key, version in guards.items()]}
+    if apply:
+        body["apply"] = apply
+    return body
+
+
+def hold_body(life: float) -> dict[str, Any]:
+    return {"lifeMs": int(life * 1000)}
+
+
+def rows_path(prefix: str, after: str | None, most: int) -> str:
+    return f"{STORE}?starts={prefix}" + (f"&after={after}" if after else "") + f"&most={most}"
+
+
+def listing_path(after: str | None, most: int) -> str:
+    return f"{RENTALS}?most={most}" + (f"&after={after}" if after else "")
