--- a/flaxtally/dispatch.py
+++ b/flaxtally/dispatch.py
@@ -29,7 +29,11 @@
 
 def owner(machine: str, view: list[str]) -> str | None:
     """Rendezvous hashing: the live controller that the machine belongs to."""
-    return max(view, key=lambda node: hashlib.blake2b(f"{machine} {node}".encode(), digest_size=8).digest(), default=None)
+
+    def weight(node: str) -> bytes:
+        return hashlib.blake2b(f"{machine} {node}".encode(), digest_size=8).digest()
+
+    return max(view, key=weight, default=None)
 
 
 class Dispatch(Actor, Carrier):
@@ -42,7 +46,7 @@
         super().__init__(runtime)
         self._settings, self._policy = settings, policy
         self._election, self._peers, self._workers, self._store = election, peers, workers, store
-        self._deliver: Callable[[str, wire.Report], None] = lambda server, report: None
+        self._deliver: Callable[[str, wire.Report], None] = lambda *_: None
         self._heard: dict[str, tuple[float, wire.Report]] = {}
         self._sent_on: dict[str, float] = {}
         self._returned: dict[str, float] = {}
--- a/flaxtally/fill.py
+++ b/flaxtally/fill.py
@@ -77,9 +77,8 @@
     if not shape.gpus and room.kind.gpus:
         cores -= room.gpus * min(needs.cores, room.kind.cores / room.kind.gpus)
         ram -= room.gpus * min(needs.ram, room.kind.ram / room.kind.gpus)
-    counts = [
-        (have + SLACK) / want for have, want in ((cores, shape.cores), (room.gpus, shape.gpus), (ram, shape.ram)) if want
-    ]
+    pairs = ((cores, shape.cores), (room.gpus, shape.gpus), (ram, shape.ram))
+    counts = [(have + SLACK) / want for have, want in pairs if want]
     return max(0, int(min(counts))) if counts else 1_000_000
 
 
--- a/flaxtally/fleet.py
+++ b/flaxtally/fleet.py
@@ -42,19 +42,19 @@
     def newer(self, session: int, sequence: int) -> bool:
         return (session, sequence) > (self.session, self.sequence)
 
+    def claim(self, spec: wire.Spec, count: int) -> None:
+        """Counts the room of that many tasks as taken (less than 0: as free again)."""
+        self.cores += spec.cores * count
+        self.gpus += spec.gpus * count
+        self.ram += spec.ram * count
+
     def use(self, placement: Placement) -> None:
-        spec = placement.job.spec
         self.placements[placement.job.no, placement.task] = placement
-        self.cores += spec.cores
-        self.gpus += spec.gpus
-        self.ram += spec.ram
+        self.claim(placement.job.spec, 1)
 
     def free(self, placement: Placement, now: float) -> None:
-        spec = placement.job.spec
         if self.placements.pop((placement.job.no, placement.task), None) is not None:
-            self.cores -= spec.cores
-            self.gpus -= spec.gpus
-            self.ram -= spec.ram
+            self.claim(placement.job.spec, -1)
             self.idle_since = now
 
     def note_image(self, image: str, size: float, cache: float) -> None:
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -228,7 +228,7 @@
         stage = job.told or (wire.RUNNING if running else wire.PENDING)
         done = len(job.done_tasks)
         if stage in (wire.PENDING, wire.RUNNING):
-            done = min(done, job.spec.tasks - 1) if job.spec.kind == wire.ARRAY else done
+            done = min(done, job.spec.tasks - 1) if job.spec.kind != wire.SERVICE else done
         return wire.job_status(job.spec.ref, stage, done, running)
 
     def _confirmed(self, answer: Answer, then: Callable[[], None]) -> None:
@@ -557,6 +557,9 @@
             shape = Shape.of(spec)
             if shape in hopeless and not spec.spread:
                 continue
+            if spec.kind == wire.GANG and not job.placed:
+                self._place_gang(job, machines)
+                continue
             while job.waiting and self._within_limit(spec):
                 zones = self._zones_open(job)
                 chosen = placement.choose(
@@ -568,17 +571,43 @@
                     break
                 self._place(job, chosen)
 
+    def _place_gang(self, job: Job, machines: list[Machine]) -> None:
+        """A gang starts only when all its tasks have room at once; a lost one is replaced singly."""
+        spec, count = job.spec, job.waiting
+        if not self._within_limit(spec, count):
+            return
+        for zones in [{zone} for zone in sorted(self._all_zones())] if spec.one_zone else [self._all_zones()]:
+            chosen: list[Machine] = []
+            there = [machine for machine in machines if machine.zone in zones]
+            for _ in range(count):
+                counts = [machine.zone for machine in chosen]
+                most = (spec.tasks + 1) // 2 if spec.spread else count
+                shut = {zone: False for zone in zones if counts.count(zone) >= most}
+                machine = placement.choose(
+                    spec, job.no, there, self.kinds, self._needs, self._policy.sample, self._rng, shut
+                )  # fmt: skip
+                if machine is None:
+                    break
+                machine.claim(spec, 1)
+                chosen.append(machine)
+            for machine in chosen:
+                machine.claim(spec, -1)
+            if len(chosen) == count:
+                for machine in chosen:
+                    self._place(job, machine)
+                return
+
     def _kick_later(self) -> None:
         self.later(self._policy.retry, self._kick)
 
-    def _within_limit(self, spec: wire.Spec) -> bool:
+    def _within_limit(self, spec: wire.Spec, count: int = 1) -> bool:
         team, usage = self._settings.teams.get(spec.team), self.book.usage.get(spec.team)
         if team is None:
             return False
         cores, gpus = (usage.cores, usage.gpus) if usage else (0.0, 0.0)
         return not (
-            (team.cores_max and cores + spec.cores > team.cores_max + placement.SLACK)
-            or (team.gpus_max and gpus + spec.gpus > team.gpus_max + placement.SLACK)
+            (team.cores_max and cores + spec.cores * count > team.cores_max + placement.SLACK)
+            or (team.gpus_max and gpus + spec.gpus * count > team.gpus_max + placement.SLACK)
         )
 
     def _zones_open(self, job: Job) -> dict[str, bool]:
@@ -923,7 +952,6 @@
         """Whether the demand that the rooms can hold is held just as well without this machine."""
         rooms = self._rooms(now, at)
         fewer = [room for room in self._rooms(now, at) if room.name != without]
-        for demand in demands:
-            if fill.pack(demand, rooms, self._needs) != fill.pack(demand, fewer, self._needs):
-                return False
-        return True
+        return all(
+            fill.pack(demand, rooms, self._needs) == fill.pack(demand, fewer, self._needs) for demand in demands
+        )  # fmt: skip
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -175,7 +175,7 @@
         if placement is None or placement.attempt != attempt:
             raise BookError(f"task {job.spec.ref}/{task} has no attempt {attempt} to end")
         self._remove(placement)
-        if done and job.spec.kind == wire.ARRAY:
+        if done and job.spec.kind != wire.SERVICE:
             job.done_tasks.add(task)
         else:
             heapq.heappush(job.requeued, task)
@@ -208,7 +208,7 @@
 
     @staticmethod
     def _settle(job: Job) -> None:
-        if job.spec.kind == wire.ARRAY and len(job.done_tasks) == job.spec.tasks and not job.cancelled:
+        if job.spec.kind != wire.SERVICE and len(job.done_tasks) == job.spec.tasks and not job.cancelled:
             job.done = True
 
     # Snapshots, for pages that are cleaned
--- /dev/null
+++ b/flaxtally/standin/cloud.py
@@ -0,0 +1,83 @@
+"""A stand-in for the cloud: capacity by pool, boot times, a list, an outage."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from .. import wire
+from ..http import Request, Server
+from ..loop import Address, Runtime
+
+
+class Cloud:
+    """`start(machine)` is called when a machine is up and `end(machine)` when it is gone."""
+
+    def __init__(
+        self, runtime: Runtime, address: Address, types: list[wire.MachineType],
+        capacity: dict[tuple[str, str, bool], int], place: Callable[[int], str],
+        start: Callable[[wire.Listed], None], end: Callable[[str], None], rng: random.Random,
+    ) -> None:  # fmt: skip
+        self._runtime, self._types, self._capacity, self._rng = runtime, types, capacity, rng
+        self._place, self._start, self._end = place, start, end
+        self.machines: dict[str, wire.Listed] = {}
+        self._asked_at: dict[str, float] = {}
+        self._answers: dict[str, list[str]] = {}
+        self.down = False
+        self.boots_fail = False
+        self._count = 0
+        Server(runtime, address, self._handle, 1000, 600.0, 1.0)
+
+    def _handle(self, request: Request) -> None:
+        path = request.path.partition("?")[0]
+        if self.down:
+            request.reply(503, {"error": "trouble"})
+        elif path == wire.CATALOG:
+            request.reply(200, wire.Catalog(self._types))
+        elif path == wire.RELEASE:
+            for name in msgspec.msgpack.decode(request.body, type=wire.Release).machines:
+                self.take(name)
+            request.reply(200, {})
+        elif request.method == "POST":
+            self._rent(request, msgspec.msgpack.decode(request.body, type=wire.Rental))
+        else:
+            now = self._runtime.now()
+            for name, machine in self.machines.items():
+                machine.age = now - self._asked_at[name]
+            request.reply(200, wire.Listing(list(self.machines.values())))
+
+    def _rent(self, request: Request, rental: wire.Rental) -> None:
+        if rental.request not in self._answers:
+            pool = (rental.type, rental.zone, rental.spot)
+            used = sum((m.type, m.zone, m.spot) == pool for m in self.machines.values())
+            count = min(rental.count, self._capacity.get(pool, 0) - used)
+            if count <= 0:
+                request.reply(503, {"error": "no capacity"})
+                return
+            self._answers[rental.request] = [self.add(*pool) for _ in range(count)]
+        request.reply(200, wire.Rented(self._answers[rental.request]))
+
+    def add(self, kind: str, zone: str, spot: bool, boot: float | None = None) -> str:
+        """A machine that boots from now on."""
+        name = f"n-{self._count:06d}"
+        machine = wire.Listed(name, kind, zone, spot, wire.BOOTING, 0.0, self._place(self._count))
+        self._count += 1
+        self.machines[name] = machine
+        self._asked_at[name] = self._runtime.now()
+        if not self.boots_fail:
+            nominal = next(entry.boot for entry in self._types if entry.name == kind)
+            self._runtime.after(nominal * self._rng.uniform(0.6, 1.5) if boot is None else boot, self._up, name)
+        return name
+
+    def _up(self, name: str) -> None:
+        machine = self.machines.get(name)
+        if machine is not None:
+            machine.state = "running"
+            self._start(machine)
+
+    def take(self, name: str) -> None:
+        """The machine and everything on it are gone."""
+        if self.machines.pop(name, None) is not None:
+            self._end(name)
--- /dev/null
+++ b/flaxtally/standin/state.py
@@ -0,0 +1,97 @@
+"""A stand-in for the state service, in memory."""
+
+from __future__ import annotations
+
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from .. import wire
+from ..http import Request, Server
+from ..loop import Address, Runtime
+
+
+class StateService:
+    """Keys with versions, transactions, leases. `down` answers 503 to everything."""
+
+    def __init__(self, runtime: Runtime, address: Address) -> None:
+        self._runtime = runtime
+        self.rows: dict[str, tuple[Any, int, int | None]] = {}
+        self.revision = 0
+        self.down = False
+        self.refuse_changes = False
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._next_lease = 1
+        self.changes = 0
+        Server(runtime, address, self._handle, 1000, 600.0, 1.0)
+
+    def _handle(self, request: Request) -> None:
+        if self.down:
+            request.reply(503, {"error": "trouble"})
+            return
+        self._expire()
+        path, _, query = request.path.partition("?")
+        if path == wire.TXN:
+            self._txn(request)
+        elif path == wire.STORE:
+            self._list(request, {name: values[0] for name, values in parse_qs(query).items()})
+        elif path.startswith(wire.STORE + "/"):
+            key = path[len(wire.STORE) + 1 :]
+            row = self.rows.get(key)
+            if row is None:
+                request.reply(404, {"ledger": self.revision})
+            else:
+                request.reply(200, wire.Row(key, row[0], row[1]))
+        elif path == wire.HOLDS:
+            life = msgspec.msgpack.decode(request.body, type=wire.Life).milliseconds / 1000
+            lease, self._next_lease = self._next_lease, self._next_lease + 1
+            self._leases[lease] = (life, self._runtime.now() + life)
+            request.reply(200, wire.Hold(lease))
+        else:
+            lease = int(path.split("/")[2])
+            if lease not in self._leases:
+                request.reply(404, {"error": "no such lease"})
+                return
+            life = self._leases[lease][0]
+            self._leases[lease] = (life, self._runtime.now() + life)
+            request.reply(200, {"tenure": lease})
+
+    def recover(self) -> None:
+        """Ends an outage: all leases have their full time again."""
+        self.down = False
+        self._leases = {lease: (life, self._runtime.now() + life) for lease, (life, _) in self._leases.items()}
+
+    def _expire(self) -> None:
+        now = self._runtime.now()
+        for lease in [lease for lease, (_, until) in self._leases.items() if until <= now]:
+            del self._leases[lease]
+            for key in [key for key, row in self.rows.items() if row[2] == lease]:
+                self.revision += 1
+                del self.rows[key]
+
+    def _list(self, request: Request, query: dict[str, str]) -> None:
+        prefix, after, most = query.get("starts", ""), query.get("after", ""), int(query.get("most", "1000"))
+        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
+        found = [wire.Row(key, self.rows[key][0], self.rows[key][1]) for key in keys[:most]]
+        request.reply(200, wire.Rows(found, len(keys) > most))
+
+    def _txn(self, request: Request) -> None:
+        status, body = self.transact(msgspec.msgpack.decode(request.body, type=wire.Txn))
+        request.reply(status, body)
+
+    def transact(self, txn: wire.Txn) -> tuple[int, Any]:
+        if any(change.put and change.lease is not None and change.lease not in self._leases for change in txn.apply):
+            return 400, {"error": "no such lease"}
+        failed = [guard.key for guard in txn.guards if self.rows.get(guard.key, (None, 0))[1] != guard.version]
+        if failed:
+            return 409, {"failed": failed, "ledger": self.revision}
+        if txn.apply:
+            self.revision += 1
+        for change in txn.apply:
+            self.changes += 1
+            if change.put is not None:
+                self.rows[change.put] = (change.value, self.revision, change.lease)
+            elif change.drop is not None:
+                self.rows.pop(change.drop, None)
+        return 200, wire.Revision(self.revision)
--- /dev/null
+++ b/flaxtally/standin/worker.py
@@ -0,0 +1,195 @@
+"""A stand-in for a worker: reports, leases, tokens, sessions, tasks."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from .. import wire
+from ..http import Client, Reply, Request, Server
+from ..loop import Address, Runtime, Timer
+
+
+class Held:
+    """A task on the worker."""
+
+    def __init__(self, task: str, attempt: int, state: str) -> None:
+        self.task, self.attempt, self.state = task, attempt, state
+        self.cause: str | None = None
+        self.timer: Timer | None = None
+
+
+class Worker:
+    """`run_time(ref)` is how long a job's tasks run (None: until stopped); `spec(ref)` is what was
+    uploaded; `watch(event, machine, task, attempt)` sees `start` and `end` of everything on the machine."""
+
+    def __init__(
+        self, runtime: Runtime, machine: wire.Listed, kind: wire.MachineType, address: Address,
+        nodes: dict[str, Address], report_s: float, lease_s: float,
+        spec: Callable[[str], wire.Spec | None], run_time: Callable[[str], float | None],
+        watch: Callable[[str, str, str, int], None], rng: random.Random,
+    ) -> None:  # fmt: skip
+        self._runtime, self.machine, self._kind, self._address = runtime, machine, kind, address
+        self._nodes, self._report_s, self._lease_s = nodes, report_s, lease_s
+        self._spec, self._run_time, self._watch, self._rng = spec, run_time, watch, rng
+        self.tasks: dict[tuple[str, int], Held] = {}
+        self.session, self._sequence, self.token = 1, 0, 0
+        self.notice: float | None = None
+        self.hung = False
+        self._renewed = runtime.now()
+        self._images: set[str] = set()
+        self._at = rng.choice(sorted(nodes))
+        self._clients = {name: Client(runtime, where) for name, where in nodes.items()}
+        self._busy = False
+        self._next: Timer | None = None
+        Server(runtime, address, self._direct, 50, 600.0, 1.0)
+        self._due(rng.uniform(0, report_s / 2))
+
+    # Reports
+
+    def report(self) -> wire.Report:
+        self._sequence += 1
+        machine = self.machine
+        return wire.Report(
+            machine.machine, f"{self._address[0]}:{self._address[1]}", machine.type, machine.zone, machine.spot,
+            self.session, self._sequence, self.token,
+            [wire.TaskReport(held.task, held.attempt, held.state, held.cause) for held in self.tasks.values()],
+            self.notice,
+        )  # fmt: skip
+
+    def _due(self, delay: float) -> None:
+        if self._next is not None:
+            self._next.cancel()
+        self._next = self._runtime.after(delay, self._beat)
+
+    def changed(self) -> None:
+        if not self._busy:
+            self._due(min(0.5, self._report_s))
+
+    def _beat(self) -> None:
+        if self.hung:
+            self._due(self._report_s)
+            return
+        now, session = self._runtime.now(), self.session
+        if now - self._renewed > self._lease_s:
+            self._lapse()
+            session = self.session
+        self._busy = True
+        node = self._at
+
+        def told(reply: Reply) -> None:
+            self._busy = False
+            delay = self._report_s * self._rng.uniform(0.75, 1.25)
+            if reply.status == 200 and not self.hung:
+                answer = msgspec.msgpack.decode(reply.body, type=wire.Orders)
+                if answer.token >= self.token and session == self.session:
+                    delay = 0.5 if answer.token > self.token else delay
+                    self.token, self._renewed = answer.token, now
+                    self._execute(answer.orders)
+            elif reply.status == 421:
+                target = msgspec.msgpack.decode(reply.body, type=wire.Elsewhere).node
+                known = target in self._nodes and target != node
+                self._at = target if known and target else self._other(node)
+                delay = self._rng.uniform(0, 0.5) if known else 1.0
+            elif reply.status != 200:
+                self._at, delay = self._other(node), 1.0
+            self._due(delay)
+
+        self._clients[node].request("POST", wire.BEAT, self.report(), 4.0, told)
+
+    def _other(self, node: str) -> str:
+        names = sorted(self._nodes)
+        return names[(names.index(node) + 1) % len(names)]
+
+    def _lapse(self) -> None:
+        for held in list(self.tasks.values()):
+            self._end(held, "lapsed")
+        self.tasks.clear()
+        self.session += 1
+        self._renewed = self._runtime.now()
+
+    def gone(self) -> None:
+        for held in self.tasks.values():
+            self._end(held, "gone")
+        self.tasks.clear()
+
+    # Orders
+
+    def _direct(self, request: Request) -> None:
+        if self.hung:
+            # The order waits in the hung machine and is executed when it goes on.
+            self._runtime.after(0.5, self._direct, request)
+            return
+        if self._runtime.now() - self._renewed > self._lease_s:
+            self._lapse()
+        if request.path == wire.STATUS:
+            request.reply(200, self.report())
+            return
+        orders = msgspec.msgpack.decode(request.body, type=wire.Orders)
+        if orders.token < self.token or orders.session != self.session:
+            request.reply(409, self.report())
+            return
+        raised = orders.token > self.token
+        self.token = orders.token
+        self._execute(orders.orders)
+        request.reply(200, self.report())
+        if raised:
+            self.changed()
+
+    def _execute(self, orders: list[wire.Order]) -> None:
+        for order in orders:
+            held = self.tasks.get((order.task, order.attempt))
+            if order.verb == wire.LAUNCH and held is None:
+                self._launch(order)
+            elif order.verb == wire.STOP and held is not None and held.state != wire.EXITED:
+                self._exit(held, wire.CAUSE_HALTED)
+            elif order.verb == wire.FORGET and held is not None and held.state == wire.EXITED:
+                del self.tasks[order.task, order.attempt]
+
+    def _launch(self, order: wire.Order) -> None:
+        held = self.tasks[order.task, order.attempt] = Held(order.task, order.attempt, wire.FETCHING)
+        spec = self._spec(order.task.partition("/")[0])
+        live = [other for other in self.tasks.values() if other.state != wire.EXITED and other is not held]
+        specs = [found for other in live if (found := self._spec(other.task.partition("/")[0])) is not None]
+        kind = self._kind
+        if spec is None:
+            held.state, held.cause = wire.EXITED, wire.CAUSE_UNKNOWN
+        elif any(other.task == order.task for other in live):
+            held.state, held.cause = wire.EXITED, wire.CAUSE_IN_USE
+        elif (
+            sum(each.cores for each in specs) + spec.cores > kind.cores + 1e-6
+            or sum(each.gpus for each in specs) + spec.gpus > kind.gpus + 1e-6
+            or sum(each.ram for each in specs) + spec.ram > kind.ram + 1e-6
+        ):
+            held.state, held.cause = wire.EXITED, wire.CAUSE_FULL
+        else:
+            delay = 0.0 if spec.image in self._images else spec.image_gb / kind.fetch_rate
+            self._images.add(spec.image)
+            held.timer = self._runtime.after(delay, self._run, held)
+        self.changed()
+
+    def _run(self, held: Held) -> None:
+        if held.state != wire.FETCHING:
+            return
+        held.state = wire.RUNNING
+        self._watch("start", self.machine.machine, held.task, held.attempt)
+        length = self._run_time(held.task.partition("/")[0])
+        if length is not None:
+            held.timer = self._runtime.after(length, self._exit, held, wire.CAUSE_DONE)
+        self.changed()
+
+    def _exit(self, held: Held, cause: str) -> None:
+        if held.state == wire.EXITED:
+            return
+        self._end(held, cause)
+        held.state, held.cause = wire.EXITED, cause
+        self.changed()
+
+    def _end(self, held: Held, why: str) -> None:
+        if held.timer is not None:
+            held.timer.cancel()
+        if held.state == wire.RUNNING:
+            held.state = wire.EXITED
+            self._watch("end " + why, self.machine.machine, held.task, held.attempt)
--- a/flaxtally/wire.py
+++ b/flaxtally/wire.py
@@ -19,7 +19,7 @@
 CATALOG, RENTALS, RELEASE = "/catalog", "/rentals", "/rentals/release"
 STORE, TXN, HOLDS = "/store", "/txn", "/holds"
 
-ARRAY, SERVICE = "array", "daemon"
+ARRAY, SERVICE, GANG = "array", "daemon", "group"
 RANKS = {"critical": 0, "high": 1, "standard": 2, "idle": 3}
 PENDING, RUNNING, DONE, ABORTED = "pending", "running", "done", "aborted"
 FETCHING, FLUSHING, EXITED = "fetching", "flushing", "exited"
@@ -189,15 +189,14 @@
         raise BadSubmission(str(fault)) from None
     if not JOB_ID.match(sent.ref):
         raise BadSubmission("ref: not of the form j-000412")
-    if sent.kind not in (ARRAY, SERVICE):
+    if sent.kind not in (ARRAY, SERVICE, GANG):
         raise BadSubmission("craft: unknown")
     if sent.rank not in RANKS:
         raise BadSubmission("rank: unknown")
     if not 1 <= sent.tasks <= MOST_TASKS:
         raise BadSubmission(f"hands: not within 1 to {MOST_TASKS}")
-    amounts = (sent.cores, sent.gpus, sent.ram, sent.image_gb, sent.estimate, sent.checkpoint, sent.save)
-    if sent.deadline is not None:
-        amounts += (sent.deadline,)
+    amounts = [sent.cores, sent.gpus, sent.ram, sent.image_gb, sent.estimate, sent.checkpoint, sent.save]
+    amounts.append(sent.deadline or 0.0)
     if not all(math.isfinite(amount) and amount >= 0 for amount in amounts):
         raise BadSubmission("an amount is negative or not finite")
     if any(len(text) > 200 for text in (sent.lane, sent.team, sent.image, sent.zone or "", *(sent.types or ()))):
@@ -277,3 +276,68 @@
 
 def listing_path(after: str | None, most: int) -> str:
     return f"{RENTALS}?most={most}" + (f"&after={after}" if after else "")
+
+
+# The other side's view, for the stand-ins
+
+
+class Order(msgspec.Struct, rename={"task": "hand", "attempt": "try", "grace": "leewayS"}):
+    verb: str
+    task: str
+    attempt: int
+    grace: float = 0.0
+
+
+class Orders(msgspec.Struct, rename={"token": "baton", "session": "shift"}):
+    """What a worker gets, as direct orders or as the answer to its report."""
+
+    orders: list[Order] = []
+    token: int = 0
+    session: int = 0
+
+
+class Elsewhere(msgspec.Struct, rename={"node": "foreman"}):
+    node: str | None = None
+
+
+class Guard(msgspec.Struct, rename={"key": "k", "version": "stamp"}):
+    key: str
+    version: int
+
+
+class Change(msgspec.Struct, rename={"value": "v", "lease": "tenure"}):
+    put: str | None = None
+    value: Any = None
+    lease: int | None = None
+    drop: str | None = None
+
+
+class Txn(msgspec.Struct):
+    guards: list[Guard] = []
+    apply: list[Change] = []
+
+
+class Rental(msgspec.Struct, rename={"request": "hire", "type": "breed", "zone": "yard", "spot": "loaner",
+                                     "count": "number"}):  # fmt: skip
+    request: str
+    type: str
+    zone: str
+    spot: bool
+    count: int
+
+
+class Release(msgspec.Struct, rename={"machines": "rigs"}):
+    machines: list[str]
+
+
+class Life(msgspec.Struct, rename={"milliseconds": "lifeMs"}):
+    milliseconds: int
+
+
+LAUNCH, STOP, FORGET = "launch", "stop", "reap"
+CAUSE_HALTED = "halted"
+
+
+def submission(spec: Spec) -> Submission:
+    """The submission that a user sends for this."""
+    return Submission(**msgspec.structs.asdict(spec))
--- /dev/null
+++ b/tests/sim.py
@@ -0,0 +1,180 @@
+"""A simulated network and clock: hosts, streams with delays, cuts that hold packets back, crashes.
+
+Deterministic by its seed. Each host gets a `Runtime`; what runs on a crashed host never runs again.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+from flaxtally.loop import Address, Stream, Timer
+
+
+def nothing(*_: Any) -> None:
+    pass
+
+
+class SimStream:
+    """One end of a stream; `other` is the far end once it is there."""
+
+    def __init__(self, host: Host, far: str) -> None:
+        self.host, self.far = host, far
+        self.other: SimStream | None = None
+        self.opened = self.dead = False
+        self.pending: list[bytes] = []
+        self.arrives_at = 0.0
+        self.on_data: Callable[[bytes], None] = nothing
+        self.on_close: Callable[[], None] = nothing
+
+    def send(self, data: bytes) -> None:
+        if self.dead:
+            return
+        if not self.opened:
+            self.pending.append(bytes(data))
+        else:
+            self.host.sim.carry(self, bytes(data))
+
+    def close(self) -> None:
+        self.on_close = self.on_data = nothing
+        if not self.dead:
+            self.dead = True
+            if self.opened:
+                self.host.sim.carry(self, None)
+
+    def ended(self) -> None:
+        if not self.dead:
+            self.dead = True
+            told, self.on_close, self.on_data = self.on_close, nothing, nothing
+            self.host.call(told)
+
+
+class Host:
+    """A host's runtime (see `flaxtally.loop.Runtime`), for one life of its process."""
+
+    def __init__(self, sim: Sim, ip: str) -> None:
+        self.sim, self.ip, self.alive = sim, ip, True
+        self.streams: list[SimStream] = []
+        self.listening: dict[int, Callable[[Stream], None]] = {}
+
+    def now(self) -> float:
+        return self.sim.time
+
+    def wall(self) -> float:
+        return 1_800_000_000 + self.sim.time
+
+    def after(self, delay: float, fn: Callable[..., None], *args: Any) -> Timer:
+        timer = Timer(self.sim.time + max(0.0, delay), fn, args)
+        self.sim.at(timer.when, self._fire, timer)
+        return timer
+
+    def _fire(self, timer: Timer) -> None:
+        if timer.live:
+            self.call(timer.fn, *timer.args)
+
+    def soon(self, fn: Callable[..., None], *args: Any) -> None:
+        self.sim.at(self.sim.time, self.call, fn, *args)
+
+    def call(self, fn: Callable[..., None], *args: Any) -> None:
+        if self.alive:
+            fn(*args)
+
+    def listen(self, address: Address, accept: Callable[[Stream], None]) -> None:
+        self.listening[address[1]] = accept
+
+    def connect(self, address: Address) -> Stream:
+        stream = SimStream(self, address[0])
+        self.streams.append(stream)
+        self.sim.dial(stream, address)
+        return stream
+
+
+class Sim:
+    """The clock, the events, the network."""
+
+    def __init__(self, seed: int) -> None:
+        self.time = 0.0
+        self.rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._order = itertools.count()
+        self.hosts: dict[str, Host] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self._held: dict[frozenset[str], list[tuple[SimStream, bytes | None]]] = {}
+
+    def host(self, ip: str) -> Host:
+        self.hosts[ip] = Host(self, ip)
+        return self.hosts[ip]
+
+    def at(self, when: float, fn: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self._events, (when, next(self._order), fn, args))
+
+    def step(self) -> None:
+        when, _, fn, args = heapq.heappop(self._events)
+        self.time = max(self.time, when)
+        fn(*args)
+
+    def next_time(self) -> float:
+        return self._events[0][0] if self._events else float("inf")
+
+    def delay(self) -> float:
+        return 0.001 * self.rng.uniform(0.8, 1.6)
+
+    def dial(self, stream: SimStream, address: Address) -> None:
+        ip, port = address
+        if frozenset((stream.host.ip, ip)) in self.cuts:
+            return  # an attempt under a cut hangs, and does not complete later
+        self.at(self.time + self.delay(), self._dialled, stream, ip, port)
+
+    def _dialled(self, stream: SimStream, ip: str, port: int) -> None:
+        host = self.hosts.get(ip)
+        if stream.dead:
+            return
+        if host is None or not host.alive or port not in host.listening:
+            stream.ended()
+            return
+        far = SimStream(host, stream.host.ip)
+        far.opened = stream.opened = True
+        far.other, stream.other = stream, far
+        host.streams.append(far)
+        host.call(host.listening[port], far)
+        for data in stream.pending:
+            self.carry(stream, data)
+
+    def carry(self, stream: SimStream, data: bytes | None) -> None:
+        """Bytes, or with None the end of the stream, to the far end, in order."""
+        pair = frozenset((stream.host.ip, stream.far))
+        if pair in self.cuts:
+            self._held.setdefault(pair, []).append((stream, data))
+            return
+        stream.arrives_at = max(self.time + self.delay(), stream.arrives_at)
+        self.at(stream.arrives_at, self._arrive, stream.other, data)
+
+    @staticmethod
+    def _arrive(far: SimStream | None, data: bytes | None) -> None:
+        if far is None or far.dead:
+            return
+        if data is None:
+            far.ended()
+        else:
+            far.host.call(far.on_data, data)
+
+    def cut(self, one: str, other: str) -> None:
+        self.cuts.add(frozenset((one, other)))
+
+    def heal(self, one: str, other: str) -> None:
+        """Held packets are delivered now, in order, also of streams that were given up."""
+        pair = frozenset((one, other))
+        self.cuts.discard(pair)
+        for stream, data in self._held.pop(pair, []):
+            self.carry(stream, data)
+
+    def crash(self, ip: str) -> None:
+        host = self.hosts[ip]
+        host.alive = False
+        for stream in host.streams:
+            if not stream.dead and stream.opened:
+                stream.dead = True
+                self.carry(stream, None)
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,264 @@
+"""Days of a small deployment. Each names the failure it guards against; the rules are checked in
+`World` at every start and end of a task, and a broken one ends the test."""
+
+from __future__ import annotations
+
+from flaxtally import wire
+
+from .world import NODES, STATE, World, batch, spec
+
+
+def serving(jobs: int = 4, seed: int = 1) -> World:
+    """A world with a few services of two replicas running."""
+    world = World(seed)
+    for number in range(jobs):
+        world.submit(spec(f"j-{number:06d}", tasks=2), node=number)
+    assert world.until(lambda: len(world.running) == 2 * jobs, 60), world.trace
+    return world
+
+
+def test_quiet_start_serves_and_finishes() -> None:
+    # A fresh deployment must elect one leader, rent, place, and report an array done.
+    world = serving()
+    world.submit(batch("j-000100", 10), run_time=5.0)
+    assert world.until(lambda: world.count("j-000100") > 0, 60)
+    world.run(30)
+    assert world.ask("j-000100") == (200, {"ref": "j-000100", "stage": "done", "done": 10, "running": 0})
+    assert world.ask("j-000000")[1]["stage"] == "running"
+    assert world.ask("j-999999")[0] == 404
+    assert sum(node.election.leading for node in world.nodes.values()) == 1
+
+
+def test_leader_crash_keeps_every_task_in_place() -> None:
+    # A takeover must find placements in the ledger and leave running tasks alone.
+    world = serving()
+    before = dict(world.running)
+    old = world.leader()
+    assert old
+    world.crash(old, back_after=5.0)
+    assert world.until(lambda: world.leader() not in (None, old), 5), world.trace
+    world.run(30)
+    assert world.running == before
+
+
+def test_crash_between_commit_and_launch() -> None:
+    # A placement that is committed but never launched must be proven over, then placed again.
+    world = serving()
+    leader = world.leader()
+    assert leader
+    node = world.nodes[leader]
+    node.leader._carry = lambda *_: None  # type: ignore[method-assign]  the orders never leave
+    world.submit(spec("j-000050", tasks=2), node=NODES.index(leader))
+    assert world.until(lambda: "j-000050" in world.accepted, 5)
+    world.run(0.5)
+    assert [placed.attempt for placed in node.leader.book.by_ref["j-000050"].placed.values()] == [1, 1]
+    world.crash(leader, back_after=5.0)
+    assert world.until(lambda: world.count("j-000050") == 2, 30), world.trace
+    assert {attempt for task, (_, attempt) in world.running.items() if task.startswith("j-000050")} == {2}
+
+
+def test_all_controllers_crash() -> None:
+    # An accepted job survives the loss of every process, and nothing runs twice after it.
+    world = serving()
+    world.submit(batch("j-000100", 8), run_time=20.0)
+    assert world.until(lambda: world.count("j-000100") == 8, 60)
+    for name in NODES:
+        world.crash(name, back_after=5.0)
+    world.run(6)
+    assert world.until(lambda: world.leader() is not None, 5)
+    world.run(40)
+    assert world.ask("j-000100")[1]["stage"] == "done"
+    assert all(world.count(f"j-{number:06d}") == 2 for number in range(4))
+
+
+def test_leader_cut_from_everyone_is_deposed() -> None:
+    # Two nodes that each think they lead: the cut one can commit nothing and answers no question.
+    world = serving()
+    old = world.leader()
+    assert old
+    for other in [*(world.ip(name) for name in NODES if name != old), STATE[0]]:
+        world.sim.cut(world.ip(old), other)
+    assert world.until(lambda: world.leader() not in (None, old), 15), world.trace
+    answers: list[int] = []
+    world.call(old, "GET", f"{wire.WORK}/j-000000", None, lambda status, _: answers.append(status))
+    world.submit(spec("j-000060", tasks=2), node=(NODES.index(old) + 1) % 3)
+    assert world.until(lambda: world.count("j-000060") == 2, 30)
+    assert answers == [503]
+    for other in [*(world.ip(name) for name in NODES if name != old), STATE[0]]:
+        world.sim.heal(world.ip(old), other)
+    world.run(20)
+    assert sum(node.election.leading for node in world.nodes.values()) == 1
+    assert all(world.count(f"j-{number:06d}") == 2 for number in range(4))
+
+
+def test_state_outage_is_ridden_out() -> None:
+    # Tasks run on, nothing is accepted or forgotten; 503 at once, never held back.
+    world = serving()
+    before = dict(world.running)
+    world.state.down = True
+    world.run(3)
+    answers: list[tuple[float, int]] = []
+    asked = world.sim.time
+    world.call("hearth-0", "POST", wire.WORK, wire.submission(spec("j-000061")),
+               lambda status, _: answers.append((world.sim.time - asked, status)))  # fmt: skip
+    world.run(20)
+    assert answers[0][1] == 503
+    assert answers[0][0] < 2.0
+    world.state.recover()
+    world.run(15)
+    assert world.running == before
+    assert world.ask("j-000000")[1]["stage"] == "running"
+
+
+def test_late_transaction_of_a_deposed_leader_fails() -> None:
+    # A write held in the network while another took over must not be applied when it arrives.
+    world = serving()
+    old = world.leader()
+    assert old
+    world.sim.cut(world.ip(old), STATE[0])
+    world.submit(spec("j-000062", tasks=2), node=NODES.index(old))
+    assert world.until(lambda: world.leader() not in (None, old), 15)
+    world.run(5)
+    world.sim.heal(world.ip(old), STATE[0])
+    assert world.until(lambda: world.count("j-000062") == 2, 30), world.trace
+    world.run(10)
+    terms = {row.value["term"] for row in [world_row(world, "lead")]}
+    assert terms == {world.nodes[world.leader() or ""].election.term}
+
+
+def world_row(world: World, key: str) -> wire.Row:
+    value, version, _ = world.state.rows[key]
+    return wire.Row(key, value, version)
+
+
+def test_hung_machine_is_replaced_and_may_return() -> None:
+    # A launch and a task held in a hung machine: silence proves nothing, the cloud's 200 does.
+    world = serving()
+    machine = world.machine_of("j-000000/0")
+    worker = world.workers[machine]
+    worker.hung = True
+    assert world.until(lambda: machine not in world.workers, 30), world.trace
+    assert world.until(lambda: len(world.running) == 8, 40), world.trace
+    worker.hung = False
+    world.run(20)
+    assert len(world.running) == 8
+
+
+def test_hung_machine_in_a_cloud_outage_keeps_its_tasks_until_proof() -> None:
+    # With the cloud down there is no proof: the tasks must not start elsewhere, until it hangs no more.
+    world = serving()
+    machine = world.machine_of("j-000000/0")
+    held = {task for task, (name, _) in world.running.items() if name == machine}
+    world.cloud.down = True
+    world.workers[machine].hung = True
+    world.run(25)
+    assert held <= set(world.running)
+    world.workers[machine].hung = False
+    assert world.until(lambda: len(world.running) == 8 and machine not in dict(world.running.values()), 40)
+
+
+def test_worker_that_hears_nobody_lapses_and_its_tasks_move() -> None:
+    # Reports arrive, answers and orders don't: the lease ends in the worker, a new session is the proof.
+    world = serving()
+    machine = world.machine_of("j-000000/0")
+    world.workers[machine]._execute = lambda orders: None  # type: ignore[method-assign]
+    for name in NODES:
+        world.sim.cut(world.ip(name), world.ip_of(machine))
+    assert world.until(lambda: machine not in world.workers, 40)
+    assert world.until(lambda: len(world.running) == 8, 40), world.trace
+
+
+def test_stale_report_copy_is_not_believed() -> None:
+    # A copy of a report from before a launch, arriving after it, must not prove the task absent.
+    world = serving()
+    leader = world.leader()
+    assert leader
+    machine = world.machine_of("j-000000/0")
+    node = world.nodes[leader]
+    stale = world.workers[machine].report()
+    stale.tasks = []
+    stale.sequence -= 1
+    world.run(4)
+    attempts = {task: attempt for task, (_, attempt) in world.running.items()}
+    node.leader.on_report(leader, stale)
+    world.run(10)
+    assert {task: attempt for task, (_, attempt) in world.running.items()} == attempts
+
+
+def test_cancel_across_a_cut() -> None:
+    # The machine can't be told: before `cancel_s` is over the cloud must have taken it back.
+    world = serving()
+    machine = world.machine_of("j-000000/0")
+    for name in NODES:
+        world.sim.cut(world.ip(name), world.ip_of(machine))
+    world.cancel("j-000000")
+    assert world.until(lambda: "j-000000" in world.told_cancelled, 10)
+    world.run(35)
+    assert world.count("j-000000") == 0
+    assert world.ask("j-000000")[1]["stage"] == "aborted"
+
+
+def test_cancel_stops_at_once_and_is_final() -> None:
+    world = serving()
+    world.cancel("j-000001", node=2)
+    assert world.until(lambda: world.count("j-000001") == 0, 5)
+    for name in NODES:
+        world.crash(name, back_after=1.0)
+    world.run(8)
+    assert world.ask("j-000001")[1]["stage"] == "aborted"
+    world.submit(spec("j-000001", tasks=2))
+    world.run(5)
+    assert world.count("j-000001") == 0
+
+
+def test_spot_wave() -> None:
+    # All spot machines go at once without notice: the work restarts elsewhere, nothing runs twice.
+    world = World()
+    world.submit(batch("j-000100", 24), run_time=12.0)
+    assert world.until(lambda: world.count("j-000100") >= 20, 60)
+    for name in [name for name, worker in world.workers.items() if worker.machine.spot]:
+        world.cloud.take(name)
+    assert world.until(lambda: len(world.nodes) > 0 and world.ask("j-000100")[1]["stage"] == "done", 120), world.trace
+
+
+def test_quota_is_kept_under_a_flood() -> None:
+    world = World()
+    for number in range(6):
+        world.submit(batch(f"j-{number:06d}", 30), run_time=4.0, node=number)
+    world.run(60)
+    assert max(len(world.running), 1) <= 64
+    assert world.accepted == {f"j-{number:06d}" for number in range(6)}
+
+
+def test_unexpected_machine_is_adopted_and_idle_ones_returned() -> None:
+    # A late rental nobody remembers shows up by its reports, and costs money until it is used or returned.
+    world = serving()
+    name = world.cloud.add("g8", "a", False, boot=1.0)
+    assert world.until(lambda: name in world.workers, 5)
+    assert world.until(lambda: name not in world.cloud.machines, 90), world.trace
+    assert len(world.running) == 8
+
+
+def test_bad_submissions_are_answered_and_known_ids_win() -> None:
+    world = serving()
+    answers: dict[str, int] = {}
+
+    def send(name: str, body: object) -> None:
+        world.call("hearth-1", "POST", wire.WORK, body, lambda status, _: answers.__setitem__(name, status))
+        world.run(0.5)
+
+    good = wire.submission(spec("j-000070"))
+    send("not a map", [1, 2])
+    send("missing field", {"ref": "j-000071"})
+    send("no tasks", wire.submission(spec("j-000072", tasks=0)))
+    send("infinite", wire.submission(spec("j-000073", cores=float("inf"))))
+    send("bad id", wire.submission(spec("job-1")))
+    send("unknown team", wire.submission(spec("j-000074", team="nobody")))
+    send("too big for any", wire.submission(spec("j-000075", cores=1000.0)))
+    send("over the limit", wire.submission(spec("j-000076", tasks=101)))
+    send("known, malformed", {"ref": "j-000000"})
+    send("good", good)
+    assert answers == {
+        "not a map": 400, "missing field": 400, "no tasks": 400, "infinite": 400, "bad id": 400,
+        "unknown team": 422, "too big for any": 422, "over the limit": 422, "known, malformed": 200, "good": 201,
+    }  # fmt: skip
