--- a/flaxtally/cloud.py
+++ b/flaxtally/cloud.py
@@ -38,7 +38,9 @@
         now = self._runtime.now()
         self._level = min(self._burst, self._level + (now - self._at) * self._rate)
         self._at = now
-        return max(0.0, (min(cost, self._burst) - self._level) / self._rate)
+        wait = (min(cost, self._burst) - self._level) / self._rate
+        # Below what a clock can tell apart it would be waited for without end.
+        return wait if wait > 1e-6 else 0.0
 
     def take(self, cost: float) -> None:
         self._level -= cost
--- a/flaxtally/fill.py
+++ b/flaxtally/fill.py
@@ -58,6 +58,15 @@
     count: float
     until: float
     zones: dict[str, int] = field(default_factory=dict)
+    caps: dict[str, int] | None = None
+    """For jobs that spread: how many more of their tasks each zone may take. None: any number."""
+
+    def cap(self, zone: str) -> int:
+        return 1_000_000 if self.caps is None else self.caps.get(zone, 0)
+
+    def used(self, zone: str, count: int) -> None:
+        if self.caps is not None:
+            self.caps[zone] = self.cap(zone) - count
 
 
 def fits(shape: Shape, kind: wire.MachineType, zone: str, spot: bool) -> bool:
@@ -99,9 +108,10 @@
     ):
         if left <= 0:
             break
-        count = min(left, _slots(shape, room, needs))
+        count = min(left, _slots(shape, room, needs), demand.cap(room.zone))
         if count:
             _take(shape, room, count)
+            demand.used(room.zone, count)
             left -= count
     return left
 
@@ -119,7 +129,8 @@
         kind = kinds[pool.kind]
         if not fits(shape, kind, pool.zone, pool.spot):
             continue
-        served = min(count, _slots(shape, Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram), needs))
+        fresh = Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram)
+        served = min(count, _slots(shape, fresh, needs), demand.cap(pool.zone))
         if not served:
             continue
         price = kind.spot_price * spot_worth if pool.spot else kind.price
@@ -152,8 +163,9 @@
                 score, pool = found
                 kind = kinds[pool.kind]
                 fresh = Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram)
-                count = min(left, _slots(demand.shape, fresh, needs))
+                count = min(left, _slots(demand.shape, fresh, needs), demand.cap(pool.zone))
                 _take(demand.shape, fresh, count)
+                demand.used(pool.zone, count)
                 bins.append(fresh)
                 joined.append((pool, kind))
                 demand.zones[pool.zone] = demand.zones.get(pool.zone, 0) + 1
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -836,6 +838,10 @@
             if demand is None:
                 demand = counts[shape] = Demand(shape, 0.0, self._run_length(spec))
             demand.count += count
+            if spec.spread:
+                caps = demand.caps = demand.caps or {}
+                for zone in self._settings.zones:
+                    caps[zone] = caps.get(zone, 0) + max(0, (spec.tasks + 1) // 2 - job.zone_count(zone))
         for shape, spec in self._specs.items():
             if shape not in counts and self._arrivals.rate(shape.lane, now) > 0 and self._typical(shape):
                 counts[shape] = Demand(shape, 0.0, self._run_length(spec))
@@ -857,9 +863,13 @@
 
     def _at(self, demand: Demand, at: float, now: float) -> Demand:
         count = demand.count
+        caps = dict(demand.caps) if demand.caps is not None else None
         if self._typical(demand.shape):
-            count += self._arrivals.rate(demand.shape.lane, now) * min(at, demand.until)
-        return Demand(demand.shape, count, at + demand.until, demand.zones)
+            more = self._arrivals.rate(demand.shape.lane, now) * min(at, demand.until)
+            count += more
+            if caps is not None:
+                caps = {zone: cap + math.ceil(more) for zone, cap in caps.items()}
+        return Demand(demand.shape, count, at + demand.until, demand.zones, caps)
 
     def _rooms(self, now: float, at: float) -> list[Bin]:
         """The room of machines that serve by then: free now, or freed by tasks estimated to end."""
@@ -953,5 +963,7 @@
         rooms = self._rooms(now, at)
         fewer = [room for room in self._rooms(now, at) if room.name != without]
         return all(
-            fill.pack(demand, rooms, self._needs) == fill.pack(demand, fewer, self._needs) for demand in demands
+            fill.pack(replace(demand, caps=dict(demand.caps) if demand.caps else None), rooms, self._needs)
+            == fill.pack(demand, fewer, self._needs)
+            for demand in demands
         )  # fmt: skip
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,289 @@
+"""The parts by themselves: parser, settings, ledger pages, forecast, fill, placement."""
+
+from __future__ import annotations
+
+import random
+import tomllib
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from flaxtally import wire
+from flaxtally.cli import main
+from flaxtally.dispatch import owner
+from flaxtally.fill import Bin, Demand, Pool, pack, plan
+from flaxtally.fleet import Machine
+from flaxtally.forecast import Arrivals, Shape
+from flaxtally.http import BadMessage, Parser
+from flaxtally.ledger.book import Book, BookError
+from flaxtally.peers import Frames, encode
+from flaxtally.placement import GpuNeeds, choose, gpu_needs
+from flaxtally.settings import SettingsError, parse
+
+from .world import TYPES, batch, spec
+
+KINDS = {kind.name: kind for kind in TYPES}
+NEEDS = GpuNeeds()
+
+
+# HTTP
+
+REQUEST = b"POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
+
+
+@given(st.lists(st.integers(1, 20), min_size=1, max_size=12))
+@settings(derandomize=True, max_examples=50)
+def test_parser_takes_bytes_in_any_pieces(sizes: list[int]) -> None:
+    parser, data, found = Parser(False, 100), REQUEST * 3, []
+    while data:
+        size = sizes[len(data) % len(sizes)]
+        parser.feed(data[:size])
+        data = data[size:]
+        while (message := parser.next()) is not None:
+            found.append((message.start, message.body))
+    assert found == [(["POST", "/work", "HTTP/1.1"], b"hello")] * 3
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / SPDY/9\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", 413),
+        (b"x" * 20000, 400),
+    ],
+)
+def test_parser_refuses_what_is_broken(data: bytes, status: int) -> None:
+    parser = Parser(False, 100)
+    parser.feed(data)
+    with pytest.raises(BadMessage) as caught:
+        parser.next()
+    assert caught.value.status == status
+
+
+def test_peer_frames_survive_any_cut_and_refuse_nonsense() -> None:
+    frames, data = Frames(), encode({"k": "hb", "term": 3}) * 2
+    found = [frame for byte in data for frame in frames.feed(bytes([byte]))]
+    assert found == [{"k": "hb", "term": 3}] * 2
+    with pytest.raises(ValueError, match="too long"):
+        Frames().feed(b"\xff\xff\xff\xff")
+    with pytest.raises(ValueError, match="not a frame"):
+        Frames().feed(b"\x00\x00\x00\x01\x05")
+
+
+# Settings and the command line
+
+SETTINGS = """
+node_name = "n0"
+site = "a"
+listen = "127.0.0.1:8080"
+cluster_listen = "127.0.0.1:8081"
+novelty = 1
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[params]
+zones = ["a"]
+[[params.teams]]
+name = "crew"
+cpus = 4.0
+[params.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 30.0
+[params.state]
+rps = 250.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 32
+[params.cloud]
+rps = 3.0
+list_lag_s = 4.0
+[params.limits]
+max_sockets = 700
+"""
+
+
+def test_settings_are_read_and_unknown_fields_ignored() -> None:
+    found = parse(tomllib.loads(SETTINGS))
+    assert (found.node, found.listen, found.value_bytes) == ("n0", ("127.0.0.1", 8080), 8192)
+    assert found.teams["crew"].cores == 4.0
+    assert found.teams["crew"].cores_max == 0.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ("report_s = 1.5", "", "params.workers.report_s: missing"),
+        ("report_s = 1.5", 'report_s = "x"', "params.workers.report_s: not a number"),
+        ("lease_s = 10.0", "lease_s = 0", "params.workers.lease_s: 0 is too small"),
+        ('listen = "127.0.0.1:8080"', 'listen = "here"', "listen: not HOST:PORT"),
+        ('zones = ["a"]', "zones = 3", "params.zones: not a list of texts"),
+    ],
+)
+def test_a_wrong_setting_is_named(old: str, new: str, field: str) -> None:
+    with pytest.raises(SettingsError, match=field.replace(".", r"\.")):
+        parse(tomllib.loads(SETTINGS.replace(old, new, 1)))
+
+
+def test_bad_settings_end_with_one_line_and_2(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS.replace("rps = 3.0", "rps = true"))
+    assert main(["serve", "--config", str(path)]) == 2
+    assert main(["check", "--config", str(tmp_path / "absent")]) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2
+    assert "params.cloud.rps: not a number" in lines[0]
+    path.write_text(SETTINGS)
+    assert main(["check", "--config", str(path)]) == 0
+
+
+# The ledger
+
+def fill_book(rng: random.Random, steps: int) -> tuple[Book, list[list[object]]]:
+    """A book after random proper records, and those records."""
+    book, records = Book(), []
+
+    def apply(*record: object) -> None:
+        book.apply(list(record), 1)
+        records.append(list(record))
+
+    for step in range(steps):
+        jobs = [job for job in book.jobs.values() if not job.final]
+        action = rng.random()
+        if not jobs or action < 0.2:
+            made = batch(f"j-{step:06d}", rng.randint(1, 9)) if rng.random() < 0.7 else spec(f"j-{step:06d}", tasks=3)
+            apply("J", book.next_no, 1.0, *wire.msgspec.to_builtins(made))
+            continue
+        job = rng.choice(jobs)
+        if action < 0.6 and job.waiting:
+            task = job.next_task()
+            apply("P", job.no, task, job.attempts.get(task, 0) + 1, f"n-{rng.randint(0, 3):06d}", "a")
+        elif action < 0.95 and job.placed:
+            placed = rng.choice(list(job.placed.values()))
+            apply("E", job.no, placed.task, placed.attempt, rng.random() < 0.6)
+        elif action >= 0.98:
+            apply("C", job.no)
+    return book, records
+
+
+def picture(book: Book) -> object:
+    """All that a book means, comparable."""
+    finals = dict(book.finals)
+    jobs = {}
+    for job in book.jobs.values():
+        if job.final and not job.placed:
+            finals[job.spec.ref] = "aborted" if job.cancelled else "done"
+            continue
+        placed = {task: (p.attempt, p.machine, p.zone) for task, p in job.placed.items()}
+        waiting = {*job.requeued, *range(job.fresh, job.spec.tasks)}
+        jobs[job.spec.ref] = (job.spec, job.cancelled, job.done_tasks, placed, waiting)
+    usage = {team: (round(use.cores, 6), round(use.gpus, 6)) for team, use in book.usage.items() if use.cores > 1e-9}
+    return finals, jobs, usage
+
+
+@given(st.integers(0, 10**6), st.integers(0, 120))
+@settings(derandomize=True, max_examples=60)
+def test_replay_and_snapshot_mean_the_same(seed: int, steps: int) -> None:
+    # What a takeover reads, whether first written or rewritten by cleaning, is what the leader knew.
+    book, records = fill_book(random.Random(seed), steps)
+    replayed, rewritten = Book(), Book()
+    for record in records:
+        replayed.apply(record, 1)
+    for record in book.snapshot(1):
+        rewritten.apply(record, 2)
+    assert picture(replayed) == picture(book)
+    assert picture(rewritten) == picture(book)
+    attempts = {(job.spec.ref, task): attempt for job in book.jobs.values() if not job.final
+                for task, attempt in job.attempts.items()}  # fmt: skip
+    assert attempts == {(job.spec.ref, task): attempt for job in rewritten.jobs.values() if not job.final
+                        for task, attempt in job.attempts.items()}  # fmt: skip
+
+
+def test_the_book_refuses_what_breaks_an_invariant() -> None:
+    # A second placement, an attempt used twice, a placement after a cancellation, an end of nothing.
+    book = Book()
+    book.apply(["J", 1, 0.0, *wire.msgspec.to_builtins(batch("j-000001", 2))], 1)
+    book.apply(["P", 1, 0, 1, "n-1", "a"], 1)
+    for record in (["P", 1, 0, 2, "n-2", "a"], ["E", 1, 0, 7, True], ["E", 1, 1, 1, True],
+                   ["J", 2, 0.0, *wire.msgspec.to_builtins(batch("j-000001", 2))]):  # fmt: skip
+        with pytest.raises(BookError):
+            book.apply(record, 1)
+    book.apply(["E", 1, 0, 1, False], 1)
+    with pytest.raises(BookError):
+        book.apply(["P", 1, 0, 1, "n-2", "a"], 1)
+    book.apply(["C", 1], 1)
+    with pytest.raises(BookError):
+        book.apply(["P", 1, 0, 2, "n-2", "a"], 1)
+
+
+# Forecast, fill, placement
+
+def room(kind: str, zone: str = "a", spot: bool = False) -> Bin:
+    entry = KINDS[kind]
+    return Bin(entry, zone, spot, entry.cores, entry.gpus, entry.ram)
+
+
+def test_forecast_averages_and_leaves_the_burst_out() -> None:
+    arrivals = Arrivals(100.0, 5.0)
+    arrivals.note("batch", 80, 0.0)
+    for at in range(5, 100, 5):
+        arrivals.note("batch", 2, float(at))
+    assert arrivals.rate("batch", 100.0) == pytest.approx(0.4, rel=0.15)
+    assert arrivals.rate("other", 100.0) == 0.0
+
+
+def test_fill_takes_the_cheapest_per_work_and_the_open_zone() -> None:
+    gate = Shape.of(spec("j-000001"))
+    pools = [Pool(kind, zone, spot) for kind in KINDS for zone in "ab" for spot in (False, True)]
+    rents = plan([(0.0, [Demand(gate, 10, 300.0)], [])], KINDS, pools, NEEDS, 1.1, 9)
+    assert [(rent.pool.kind, rent.pool.spot) for rent in rents] == [("c16", False)] * 2
+    gpu = Shape.of(batch("j-000002", 8))
+    rents = plan([(0.0, [Demand(gpu, 8, 60.0)], [])], KINDS, pools, NEEDS, 1.1, 9)
+    assert [(rent.pool.kind, rent.pool.spot) for rent in rents] == [("g8", True)]
+    assert plan([(0.0, [Demand(gpu, 8, 60.0)], [room("g8")])], KINDS, pools, NEEDS, 1.1, 9) == []
+
+
+def test_fill_sees_that_spread_jobs_need_a_second_zone() -> None:
+    # Two replicas of one spread job: room for both in one zone is room for one.
+    gate = Shape.of(spec("j-000001", tasks=2))
+    pools = [Pool("c16", zone, False) for zone in "ab"]
+    demand = Demand(gate, 2, 300.0, caps={"a": 1, "b": 1})
+    rents = plan([(0.0, [demand], [room("c16", "a")])], KINDS, pools, NEEDS, 1.1, 9)
+    assert [rent.pool.zone for rent in rents] == ["b"]
+
+
+def test_pieces_of_room_do_not_add_up() -> None:
+    # The sum of free GPUs would hold the task; no single machine does.
+    big = Demand(Shape.of(batch("j-000001", 1, image="x")), 1, 60.0)
+    half = [Bin(KINDS["g8"], "a", True, 32.0, 0.5, 256.0) for _ in range(4)]
+    assert pack(big, half, NEEDS) == 1
+
+
+def test_placement_prefers_cached_images_and_leaves_gpus_their_cores() -> None:
+    gate, work = spec("j-000001", image_gb=8.0), batch("j-000002", 1)
+    cold, warm, gpu = (Machine(name, kind, "a", False, 0.0) for name, kind in
+                       (("n-1", "c16"), ("n-2", "c16"), ("n-3", "g8")))  # fmt: skip
+    warm.note_image("img-1", 8.0, 40.0)
+    chosen = choose(gate, 1, [cold, warm], KINDS, NEEDS, 9, random.Random(1), {})
+    assert chosen is warm
+    needs = gpu_needs([work])
+    gpu.cores = 8.0  # 24 cores left, which its 8 free GPUs will all need
+    assert choose(gate, 1, [gpu], KINDS, needs, 9, random.Random(1), {}) is None
+    assert choose(work, 2, [gpu], KINDS, needs, 9, random.Random(1), {}) is gpu
+    assert choose(gate, 1, [warm], KINDS, NEEDS, 9, random.Random(1), {"a": False}) is None
+
+
+def test_hashing_moves_only_the_lost_controllers_machines() -> None:
+    names = [f"n-{number:06d}" for number in range(300)]
+    three = {name: owner(name, ["h0", "h1", "h2"]) for name in names}
+    two = {name: owner(name, ["h0", "h1"]) for name in names}
+    assert all(60 < list(three.values()).count(node) < 140 for node in ("h0", "h1", "h2"))
+    assert all(two[name] == three[name] for name in names if three[name] != "h2")
+    assert owner("n-1", []) is None
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -83,6 +83,7 @@
     world.call(old, "GET", f"{wire.WORK}/j-000000", None, lambda status, _: answers.append(status))
     world.submit(spec("j-000060", tasks=2), node=(NODES.index(old) + 1) % 3)
     assert world.until(lambda: world.count("j-000060") == 2, 30)
+    world.run(2)
     assert answers == [503]
     for other in [*(world.ip(name) for name in NODES if name != old), STATE[0]]:
         world.sim.heal(world.ip(old), other)
@@ -154,6 +155,7 @@
     world.run(25)
     assert held <= set(world.running)
     world.workers[machine].hung = False
+    world.cloud.down = False
     assert world.until(lambda: len(world.running) == 8 and machine not in dict(world.running.values()), 40)
 
 
@@ -161,7 +163,7 @@
     # Reports arrive, answers and orders don't: the lease ends in the worker, a new session is the proof.
     world = serving()
     machine = world.machine_of("j-000000/0")
-    world.workers[machine]._execute = lambda orders: None  # type: ignore[method-assign]
+    world.workers[machine]._execute = lambda *_: None  # type: ignore[method-assign]
     for name in NODES:
         world.sim.cut(world.ip(name), world.ip_of(machine))
     assert world.until(lambda: machine not in world.workers, 40)
--- a/tests/world.py
+++ b/tests/world.py
@@ -147,7 +147,8 @@
             assert zones.count(there.zone) <= (job.tasks + 1) // 2, f"wrong_place: {task} not spread"
         used = sum(self.specs[other.partition("/")[0]].cores for other in self.running)
         gpus = sum(self.specs[other.partition("/")[0]].gpus for other in self.running)
-        assert used <= self.team.cores_max and gpus <= self.team.gpus_max, "quota"
+        assert used <= self.team.cores_max, "quota"
+        assert gpus <= self.team.gpus_max, "quota"
 
     # Users
 
@@ -166,7 +167,7 @@
             self.run_times[job.ref] = run_time
         name = NODES[node % 3]
 
-        def done(status: int, body: Any) -> None:
+        def done(status: int, _: Any) -> None:
             if status in (200, 201):
                 self.accepted.add(job.ref)
                 self.note(f"user: {job.ref} accepted ({status})")
