--- a/flaxtally/fleet.py
+++ b/flaxtally/fleet.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 
 from . import wire
-from .ledger.book import Job, Placement
+from .ledger.book import Placement
 
 
 class Machine:
@@ -72,5 +72,10 @@
             if placement.state in ("", wire.FETCHING)
         }
 
-    def has_sibling(self, job: Job) -> bool:
-        return any(no == job.no for no, _ in self.placements)
+    def pinned(self) -> float:
+        """How much services take here, as a number that only serves to compare machines."""
+        return sum(
+            placement.job.spec.cores + 4 * placement.job.spec.gpus
+            for placement in self.placements.values()
+            if placement.job.spec.kind == wire.SERVICE
+        )  # fmt: skip
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -83,7 +83,9 @@
         self._needs = placement.GpuNeeds()
         self._specs: dict[Shape, wire.Spec] = {}
         self._releasing_now = False
+        self._running: dict[str, int] = {}
         self._reserved: dict[str, tuple[int, float]] = {}
+        self._preempted: dict[tuple[int, int], float] = {}
         self._exits: dict[tuple[str, str, int], Placement] = {}
 
     @property
@@ -547,6 +549,7 @@
             return
         now = self.runtime.now()
         machines = self._usable()
+        self._reserved = {name: entry for name, entry in self._reserved.items() if entry[1] > now}
         hopeless: set[Shape] = set()
         for job in self._queue():
             if self._backoff.get(job.no, 0.0) > now:
@@ -560,15 +563,69 @@
                 continue
             while job.waiting and self._within_limit(spec):
                 zones = self._zones_open(job)
+                rank = wire.RANKS[spec.rank]
+                unreserved = [
+                    machine for machine in machines if rank <= self._reserved.get(machine.name, (9, 0.0))[0]
+                ] if self._reserved else machines  # fmt: skip
                 chosen = placement.choose(
-                    spec, job.no, machines, self.kinds, self._needs, self._policy.sample, self._rng, zones
+                    spec, job.no, unreserved, self.kinds, self._needs, self._policy.sample, self._rng, zones
                 )  # fmt: skip
                 if chosen is None:
-                    if not zones:
+                    self._preempt(job, machines, zones)
+                    if not zones and not spec.spread:
                         hopeless.add(shape)
                     break
                 self._place(job, chosen)
 
+    def _preempt(self, job: Job, machines: list[Machine], zones: dict[str, bool]) -> None:
+        """Makes room for a task by stopping tasks of lower rank where the least work is lost.
+
+        The machine is kept for that rank until the stopped tasks are proven gone."""
+        now, spec, rank = self.runtime.now(), job.spec, wire.RANKS[job.spec.rank]
+        key = (job.no, job.next_task())
+        if rank > wire.RANKS["high"] or self._preempted.get(key, 0.0) > now:
+            return
+        best: tuple[float, Machine, list[Placement]] | None = None
+        for machine in machines:
+            kind = self.kinds[machine.kind]
+            if not zones.get(machine.zone, True) or not placement.allowed(spec, kind, machine.zone, machine.spot):
+                continue
+            lower = [
+                placed for placed in machine.placements.values()
+                if placed.seen and wire.RANKS[placed.job.spec.rank] > rank
+            ]  # fmt: skip
+            lower.sort(key=lambda placed: self._loss(placed, now))
+            left, loss, victims = placement.room(machine, kind), 0.0, list[Placement]()
+            for placed in lower:
+                if left.holds(spec):
+                    break
+                out = placed.job.spec
+                left = placement.Room(left.cores + out.cores, left.gpus + out.gpus, left.ram + out.ram)
+                loss += self._loss(placed, now)
+                victims.append(placed)
+            fits = left.holds(spec) and placement.leaves_gpus_usable(spec, left, kind, self._needs)
+            if victims and fits and (best is None or loss < best[0]):
+                best = loss, machine, victims
+        if best is None:
+            return
+        loss, machine, victims = best
+        until = now + 2 * self._policy.order_call + max(placed.job.spec.save for placed in victims)
+        self._preempted[key] = until
+        self._preempted = {key: until for key, until in self._preempted.items() if until > now}
+        self._reserved[machine.name] = (rank, until)
+        log.info("event=preempt term=%d job=%s machine=%s stopped=%d loss=%.0f", self._term, spec.ref, machine.name,
+                 len(victims), loss)  # fmt: skip
+        for placed in victims:
+            if placed.stopping_at is None:
+                self._stop(placed, placed.job.spec.save)
+
+    @staticmethod
+    def _loss(placed: Placement, now: float) -> float:
+        """Seconds of work that a stop throws away."""
+        if placed.stopping_at is not None or placed.ran_at is None:
+            return 0.0
+        return placed.job.spec.save if placed.job.spec.checkpoint else now - placed.ran_at
+
     def _place_gang(self, job: Job, machines: list[Machine]) -> None:
         """A gang starts only when all its tasks have room at once; a lost one is replaced singly."""
         spec, count = job.spec, job.waiting
@@ -780,7 +837,7 @@
         self._resting = {pool: until for pool, until in self._resting.items() if until > now}
         demands = self._demands(now)
         steps = []
-        for at in (0.0, policy.plan_lead / 2, policy.plan_lead):
+        for at in (policy.plan_lead / 2, policy.plan_lead):
             steps.append((at, [self._at(demand, at, now) for demand in demands], self._rooms(now, at)))
         pools = [
             Pool(kind.name, zone, spot)
@@ -798,6 +855,10 @@
     def _demands(self, now: float) -> list[Demand]:
         """Waiting tasks by shape, in the order in which they would be placed."""
         counts: dict[Shape, Demand] = {}
+        self._running = {}
+        for job in self._live.values():
+            lane = job.spec.lane
+            self._running[lane] = self._running.get(lane, 0) + len(job.placed)
         headroom: dict[str, tuple[float, float]] = {}
         for job in self._queue():
             spec = job.spec
@@ -849,6 +910,9 @@
     def _at(self, demand: Demand, at: float, now: float) -> Demand:
         count = demand.count
         caps = dict(demand.caps) if demand.caps is not None else None
+        if not demand.shape.service:
+            # By then the machines that run such tasks now will have worked off a part of the queue.
+            count = max(0.0, count - self._running.get(demand.shape.lane, 0) * at / max(demand.until, 1.0))
         if self._typical(demand.shape):
             more = self._arrivals.rate(demand.shape.lane, now) * min(at, demand.until)
             count += more
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -117,6 +117,8 @@
             _grade(fetch_seconds(spec, machine, kind)),
             float(spec.kind == wire.SERVICE and any(no == job_no for no, _ in machine.placements)),
             float(spec.spot and not machine.spot),
+            # Services pin a machine for long: the fewer are pinned, the more can be given back.
+            -round(machine.pinned(), 3),
             after,
         )
         if best is None or score < best[0]:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -293,3 +293,16 @@
             world.sim.heal(left, right)
     world.run(20)
     assert len(world.running) == 10
+
+
+def test_a_critical_replica_takes_the_room_of_batch_tasks() -> None:
+    # All GPUs are taken by batch tasks and the cloud has no more: the replica must not wait for them.
+    world = World()
+    for key in world.cloud._capacity:
+        world.cloud._capacity[key] = 1 if key == ("g8", "a", False) else 0
+    world.submit(batch("j-000100", 8), run_time=300.0)
+    assert world.until(lambda: world.count("j-000100") == 8, 60)
+    world.submit(spec("j-000001", gpus=2.0, cores=6.0))
+    assert world.until(lambda: world.count("j-000001") == 1, 10), world.trace
+    world.run(10)
+    assert (world.count("j-000001"), world.count("j-000100")) == (1, 6)
