--- a/flaxtally/election.py
+++ b/flaxtally/election.py
@@ -60,6 +60,7 @@
     def start(self) -> None:
         self.every(self._policy.heartbeat, self._beat)
         self.every(self._policy.probe, self._probe)
+        self._peers.on_refused = self._refused
 
     # What others ask
 
@@ -192,6 +193,11 @@
         self._key_mine_of_old = node == self._node
         self._consider()
 
+    def _refused(self) -> None:
+        """Told at once to those who would otherwise still trust our last word on the leader."""
+        if self.leader is not None and self._peers.refuses(self.leader):
+            self._beat()
+
     def _consider(self) -> None:
         """Takes over when the leader is lost, and nobody whom we hear still sees it."""
         if self.leading or self._taking or not self.store_answers:
@@ -211,9 +217,14 @@
             return
         if self._lost_since is None:
             self._lost_since = now
-        others = [peer for peer in self._peers.heard if peer != self.leader and self._peers.fresh(peer)]
+        others = [
+            peer for peer in self._peers.heard
+            if peer != self.leader and self._peers.fresh(peer) and not self._peers.refuses(peer)
+        ]  # fmt: skip
         rank = sorted([self._node, *others]).index(self._node)
-        if now - self._lost_since < policy.heartbeat * (0.5 + 1.5 * rank):
+        pause = policy.heartbeat * (0.25 + rank)
+        if now - self._lost_since < pause:
+            self.later(pause, self._consider)
             return
         refused = self.leader is not None and self._peers.refuses(self.leader)
         if (others or refused) and not any(self._sees.get(peer) for peer in others):
--- a/flaxtally/forecast.py
+++ b/flaxtally/forecast.py
@@ -42,10 +42,18 @@
         self._window, self._step = window, step
         self._buckets: deque[tuple[int, dict[str, float]]] = deque()
         self._first: float | None = None
+        self._sizes: deque[tuple[float, str, int]] = deque()
+
+    def largest(self, lane: str, now: float) -> int:
+        """The most tasks of one job of the lane within the window."""
+        while self._sizes and self._sizes[0][0] < now - self._window:
+            self._sizes.popleft()
+        return max((tasks for _, sized, tasks in self._sizes if sized == lane), default=0)
 
     def note(self, lane: str, tasks: int, now: float) -> None:
         if self._first is None:
             self._first = now
+        self._sizes.append((now, lane, tasks))
         slot = int(now / self._step)
         if not self._buckets or self._buckets[-1][0] != slot:
             self._buckets.append((slot, {}))
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -34,6 +34,11 @@
 MOST_BACKLOG = 2000
 
 
+def replace_prices(kind: wire.MachineType) -> wire.MachineType:
+    """The type without what moves all the time."""
+    return msgspec.structs.replace(kind, spot_price=0.0)
+
+
 class Carrier:
     """How the leader's orders and questions reach machines; the dispatch actor implements it."""
 
@@ -61,6 +66,11 @@
         self._election, self._carrier, self._rng = election, carrier, rng
         self.active = False
         self._term = 0
+        # Lanes whose wait aim no new machine can meet: room for their next job must be there before it.
+        self._reserve = {
+            aim.lane for aim in settings.objectives
+            if aim.kind == "wait" and aim.lane is not None and aim.within < settings.lease_s
+        }  # fmt: skip
         self.kinds: dict[str, wire.MachineType] = {}
         self._reset()
         self.every(policy.retry, self._watch)
@@ -137,17 +147,25 @@
             machine.heard_at = now + self._policy.settle / 2
             self._push_token(machine)
         if not self.kinds:
-            self._learn_kinds()
+            kinds = msgspec.convert(self.book.catalog, list[wire.MachineType])
+            self.kinds = {kind.name: kind for kind in kinds}
+        self._learn_kinds(term=self._term)
         self._list()
         self._kick()
 
-    def _learn_kinds(self) -> None:
+    def _learn_kinds(self, term: int) -> None:
+        """Asks for the catalogue again and again: spot prices move."""
+
         def told(kinds: list[wire.MachineType] | None) -> None:
+            if term != self._term or not self.active:
+                return
+            self.later(self._policy.plan_lead if kinds else self._policy.retry * 2, self._learn_kinds, term)
             if kinds is None:
-                if self.active:
-                    self.later(self._policy.retry, self._learn_kinds)
                 return
             self.kinds = {kind.name: kind for kind in kinds}
+            known = msgspec.convert(self.book.catalog, list[wire.MachineType])
+            if [replace_prices(kind) for kind in known] != [replace_prices(kind) for kind in kinds]:
+                self._ledger.propose(["K", msgspec.to_builtins(kinds)])
             self._kick()
 
         self._cloud.catalog(told)
@@ -980,8 +998,12 @@
                 for zone in self._settings.zones:
                     caps[zone] = caps.get(zone, 0) + max(0, (spec.tasks + 1) // 2 - job.zone_count(zone))
         for shape, spec in self._specs.items():
-            if shape not in counts and self._arrivals.rate(shape.lane, now) > 0 and self._typical(shape):
+            if shape not in counts and self._typical(shape) and (
+                self._arrivals.rate(shape.lane, now) > 0 or shape.lane in self._reserve
+            ):  # fmt: skip
                 counts[shape] = Demand(shape, 0.0, self._run_length(spec))
+                if spec.spread:
+                    counts[shape].caps = dict.fromkeys(self._settings.zones, 0)
         for demand in counts.values():
             for machine in self.machines.values():
                 if machine.kind in self.kinds and fill.fits(
@@ -1006,9 +1028,10 @@
             count = max(0.0, count - self._running.get(demand.shape.lane, 0) * at / max(demand.until, 1.0))
         if self._typical(demand.shape):
             more = self._arrivals.rate(demand.shape.lane, now) * min(at, demand.until)
+            more += self._arrivals.largest(demand.shape.lane, now) if demand.shape.lane in self._reserve else 0.0
             count += more
             if caps is not None:
-                caps = {zone: cap + math.ceil(more) for zone, cap in caps.items()}
+                caps = {zone: cap + math.ceil(more / 2) for zone, cap in caps.items()}
         return Demand(demand.shape, count, at + demand.until, demand.zones, caps)
 
     def _rooms(self, now: float, at: float) -> list[Bin]:
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -8,6 +8,7 @@
     C  no                         the user cancelled the job
     T  no, runs                   snapshot: [first, count, attempt, done] of tasks not placed
     F  no, ref, stage             a final job, all that is kept of it
+    K  types                      the cloud's machine types: a leader that begins in an outage needs them
 """
 
 from __future__ import annotations
@@ -115,6 +116,8 @@
         self.usage: dict[str, Usage] = {}
         self.on_machine: dict[str, dict[tuple[int, int], Placement]] = {}
         self.next_no = 1
+        self.catalog: list[Any] = []
+        self.catalog_home = 0
 
     # Records, live and on replay
 
@@ -195,6 +198,9 @@
         self.final_home.setdefault(page, deque()).append(ref)
         self.next_no = max(self.next_no, no + 1)
 
+    def _apply_K(self, page: int, types: list[Any]) -> None:
+        self.catalog, self.catalog_home = types, page
+
     def _remove(self, placement: Placement) -> None:
         job = placement.job
         del job.placed[placement.task]
@@ -215,7 +221,7 @@
 
     def snapshot(self, home: int) -> list[Record]:
         """Records that say anew all that the records of page `home` still mean."""
-        records: list[Record] = []
+        records: list[Record] = [["K", self.catalog]] if self.catalog and self.catalog_home == home else []
         for job in [job for job in self.jobs.values() if job.home == home]:
             if job.final and not job.placed:
                 records.append(["F", job.no, job.spec.ref, wire.ABORTED if job.cancelled else wire.DONE])
--- a/flaxtally/peers.py
+++ b/flaxtally/peers.py
@@ -78,6 +78,7 @@
         self._links = {name: _Link(address) for name, address in others.items()}
         self.heard: dict[str, float] = {name: float("-inf") for name in others}
         self.mail: Mail | None = None
+        self.on_refused: Callable[[], None] = lambda: None
         runtime.listen(listen, self._accept)
 
     def direct(self, node: str) -> bool:
@@ -104,11 +105,15 @@
         if link.stream is None:
             if now - link.dialled_at < self._silence / 4:
                 return
-            link.dialled_at = now
-            link.stream = self.runtime.connect(link.address)
-            link.stream.on_close = lambda: self._lost(node, link)
-            link.stream.send(encode({"k": "hello", "node": self._node}))
-        link.stream.send(encode(frame))
+            self._dial(node, link)
+        if link.stream is not None:
+            link.stream.send(encode(frame))
+
+    def _dial(self, node: str, link: _Link) -> None:
+        link.dialled_at = self.runtime.now()
+        link.stream = self.runtime.connect(link.address)
+        link.stream.on_close = lambda: self._lost(node, link)
+        link.stream.send(encode({"k": "hello", "node": self._node}))
 
     def broadcast(self, frame: Frame) -> None:
         for node in self._links:
@@ -117,14 +122,18 @@
     def _lost(self, node: str, link: _Link) -> None:
         link.stream = None
         now = self.runtime.now()
-        if now - link.dialled_at < self._silence / 4 and now - self.heard[node] > self._silence / 4:
+        if now - link.dialled_at < self._silence / 4:
             link.refused_at = now
+            self.runtime.soon(self.on_refused)
+        else:
+            # Dialled again at once: a dead process refuses at once, a cut hangs.
+            self._dial(node, link)
 
     def refuses(self, node: str) -> bool:
         """Whether the node's address refused a connection after it was last heard: its process is likely
         dead. A cut hangs instead; what else refuses (a filter) is for the caller to weigh."""
         link = self._links.get(node)
-        return link is not None and link.refused_at > self.heard[node] + self._silence / 4
+        return link is not None and link.refused_at > self.heard[node]
 
     def _accept(self, stream: Stream) -> None:
         frames = Frames()
