--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -198,6 +198,7 @@
 
         self._ledger.propose(record, committed)
         job = self.book.jobs[no]
+        job.known_at = now
         self._live[no] = job
         self._note_spec(spec)
         self._arrivals.note(spec.lane, spec.tasks, now)
@@ -369,6 +370,11 @@
             placed.state = task.state
             if task.state == wire.RUNNING and placed.ran_at is None:
                 placed.ran_at = now
+                log.debug("event=running term=%d task=%s attempt=%d machine=%s type=%s queued=%.2f "
+                          "starting=%.2f cached=%s",
+                          self._term, placed.name, placed.attempt, machine.name, machine.kind,
+                          placed.proposed_at - placed.job.known_at, now - placed.proposed_at,
+                          placed.job.spec.image in machine.images)  # fmt: skip
                 kind = self.kinds.get(machine.kind)
                 machine.note_image(placed.job.spec.image, placed.job.spec.image_gb, kind.cache if kind else 0.0)
         if placed.job.cancelled and placed.job.told and now - placed.sent_at > self._policy.retry:
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -59,7 +59,7 @@
 
     __slots__ = (
         "at", "attempts", "cancelled", "cancelled_at", "committed", "done", "done_tasks", "fresh", "home",
-        "no", "placed", "requeued", "spec", "told",
+        "known_at", "no", "placed", "requeued", "spec", "told",
     )  # fmt: skip
 
     def __init__(self, no: int, at: float, spec: wire.Spec) -> None:
@@ -74,6 +74,7 @@
         self.committed = False
         self.told = ""
         self.cancelled_at = 0.0
+        self.known_at = 0.0
         self.home = 0
 
     @property
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -44,18 +44,23 @@
 
 @dataclass(frozen=True)
 class GpuNeeds:
-    """The most cores and memory that a task takes with each GPU; what cheap fillers must leave."""
+    """The cores and memory that tasks take with each GPU; what cheap fillers must leave."""
 
     cores: float = 0.0
     ram: float = 0.0
 
 
 def gpu_needs(specs: Iterable[wire.Spec]) -> GpuNeeds:
-    cores = ram = 0.0
+    """Of the class that takes most on average. One greedy task is no reason to leave the cores of all GPUs idle."""
+    lanes: dict[str, list[wire.Spec]] = {}
     for spec in specs:
         if spec.gpus:
-            cores, ram = max(cores, spec.cores / spec.gpus), max(ram, spec.ram / spec.gpus)
-    return GpuNeeds(cores, ram)
+            lanes.setdefault(spec.lane, []).append(spec)
+    means = [
+        (sum(s.cores / s.gpus for s in found) / len(found), sum(s.ram / s.gpus for s in found) / len(found))
+        for found in lanes.values()
+    ]  # fmt: skip
+    return GpuNeeds(max((cores for cores, _ in means), default=0.0), max((ram for _, ram in means), default=0.0))
 
 
 def leaves_gpus_usable(spec: wire.Spec, left: Room, kind: wire.MachineType, needs: GpuNeeds) -> bool:
