A refused pool is followed by a new plan at once and rests longer each time

Cause: one refused pool was tried a step, so a gap waited 12 s and more for the first pool with room.

--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -91,6 +91,8 @@
         self._moving_since = 0.0
         self._pending_hires: dict[str, tuple[Pool, int, float]] = {}
         self._resting: dict[Pool, float] = {}
+        self._refusals: dict[Pool, int] = {}
+        self._replanning = False
         self._errors: dict[str, set[str]] = {}
         self._backoff: dict[int, float] = {}
         self._needs = placement.GpuNeeds()
@@ -1093,13 +1095,23 @@
                     machine = self._adopt(name, pool.kind, pool.zone, pool.spot)
                     if asked and machine.booting:
                         machine.rented_at = asked[2]
+            refusals = self._refusals[pool] = 0 if machines else self._refusals.get(pool, 0) + 1
             if len(machines) < count:
-                self._resting[pool] = now + self._policy.pool_rest
+                # Longer each time in a row; and the gap is planned anew at once, not at the next step.
+                self._resting[pool] = now + self._policy.pool_rest * min(2**refusals, 8) / 2
+                if not self._replanning:
+                    self._replanning = True
+                    self.later(self._policy.retry / 8, self._replan)
                 log.info("event=refused_pool term=%d type=%s zone=%s spot=%s got=%d of=%d", self._term, pool.kind,
                          pool.zone, pool.spot, len(machines), count)  # fmt: skip
 
         self._cloud.rent(request, pool.kind, pool.zone, pool.spot, count, told)
 
+    def _replan(self) -> None:
+        self._replanning = False
+        if not self._pending_hires:
+            self._plan()
+
     def _retry_hires(self, now: float) -> None:
         """A lost reply is asked for again under the same name; after an outage the gap is planned anew."""
         for request, (_, _, asked) in list(self._pending_hires.items()):
