Jobs that can be in time go first; guarantees may stop young tasks beyond others' guarantees

Cause: under a backlog the queue's order by age made whole runs of jobs late together, and teams within their guarantee waited behind others' borrowed GPUs.

--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -66,6 +66,11 @@
         self._election, self._carrier, self._rng = election, carrier, rng
         self.active = False
         self._term = 0
+        self._beyond: set[int] = set()
+        self._finish_within: dict[str, list[float]] = {}
+        for aim in settings.objectives:
+            if aim.kind == "finished" and aim.lane is not None and aim.within:
+                self._finish_within.setdefault(aim.lane, []).append(aim.within)
         # Lanes whose wait aim no new machine can meet: room for their next job must be there before it.
         self._reserve = {
             aim.lane for aim in settings.objectives
@@ -550,9 +555,12 @@
         ]  # fmt: skip
 
     def _queue(self) -> list[Job]:
-        """Jobs with waiting tasks: by rank, those within their team's guarantee first, then by age."""
+        """Jobs with waiting tasks: by rank, those within their team's guarantee first, then those that
+        can still be in time, the most pressing of them first, then by age."""
         used: dict[str, tuple[float, float]] = {}
-        waiting: list[tuple[tuple[int, bool, int], Job]] = []
+        waiting: list[tuple[tuple[int, bool, int, float, int], Job]] = []
+        wall = self.runtime.wall()
+        self._beyond = set()
         for job in self._live.values():
             if job.final:
                 continue
@@ -561,14 +569,30 @@
             left = spec.tasks - len(job.done_tasks)
             cores, gpus = cores + spec.cores * left, gpus + spec.gpus * left
             used[spec.team] = cores, gpus
+            team = self._settings.teams.get(spec.team)
+            beyond = team is None or (bool(team.cores) and cores > team.cores) or (
+                bool(team.gpus) and gpus > team.gpus)  # fmt: skip
+            if beyond:
+                self._beyond.add(job.no)
             if job.waiting:
-                team = self._settings.teams.get(spec.team)
-                beyond = team is None or (bool(team.cores) and cores > team.cores) or (
-                    bool(team.gpus) and gpus > team.gpus)  # fmt: skip
-                waiting.append(((wire.RANKS[spec.rank], beyond, job.no), job))
+                waiting.append(((wire.RANKS[spec.rank], beyond, *self._urgency(job, wall), job.no), job))
         waiting.sort(key=lambda entry: entry[0])
         return [job for _, job in waiting]
 
+    def _urgency(self, job: Job, wall: float) -> tuple[int, float]:
+        """How many of the job's due times are past saving, and when it must start for the next one."""
+        spec = job.spec
+        dues = list(self._finish_within.get(spec.lane, ()))
+        if spec.deadline is not None:
+            dues.append(spec.deadline)
+        lost = 0
+        for due in sorted(dues):
+            latest = job.at + due - spec.estimate
+            if wall <= latest:
+                return lost, latest
+            lost += 1
+        return lost, 0.0
+
     def _schedule(self, term: int) -> None:
         self._kicked = False
         if not self.active or term != self._term or not self.kinds:
@@ -612,16 +636,25 @@
         The machine is kept for that rank until the stopped tasks are proven gone."""
         now, spec, rank = self.runtime.now(), job.spec, wire.RANKS[job.spec.rank]
         key = (job.no, job.next_task())
-        if rank > wire.RANKS["high"] or self._preempted.get(key, 0.0) > now:
+        entitled = job.no not in self._beyond
+        if (rank > wire.RANKS["high"] and not entitled) or self._preempted.get(key, 0.0) > now:
             return
         best: tuple[float, Machine, list[Placement]] | None = None
         for machine in machines:
             kind = self.kinds[machine.kind]
             if not zones.get(machine.zone, True) or not placement.allowed(spec, kind, machine.zone, machine.spot):
                 continue
+            if machine.name in self._reserved:
+                # What is being stopped there makes room for another job; it can't make it twice.
+                continue
             lower = [
                 placed for placed in machine.placements.values()
-                if placed.seen and wire.RANKS[placed.job.spec.rank] > rank
+                if placed.seen and (
+                    wire.RANKS[placed.job.spec.rank] > rank
+                    # A team's guarantee goes before what another team runs beyond its own; little may be lost.
+                    or (entitled and placed.job.no in self._beyond and placed.job.spec.team != spec.team
+                        and placed.job.spec.kind != wire.SERVICE and self._loss(placed, now) < self._policy.settle)
+                )
             ]  # fmt: skip
             lower.sort(key=lambda placed: self._loss(placed, now))
             left, loss, victims = placement.room(machine, kind), 0.0, list[Placement]()
