--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -24,11 +24,9 @@
     candidates = [
         machine
         for machine in machines
-        if machine.placements and all(
-            placed.job.spec.kind == wire.SERVICE and settled(placed) for placed in machine.placements.values()
-        )
-    ]  # fmt: skip
-    candidates.sort(key=lambda machine: -_hourly(machine, kinds) / len(machine.placements))
+        if _replicas(machine) and all(settled(placed) for placed in _replicas(machine))
+    ]
+    candidates.sort(key=lambda machine: -_hourly(machine, kinds) / len(_replicas(machine)))
     for machine in candidates[: max(1, sample // 4)]:
         others = [other for other in machines if other is not machine and other.placements]
         if _fits(machine, others, kinds, needs, sample, rng, zones_without):
@@ -36,6 +34,11 @@
     return None
 
 
+def _replicas(machine: Machine) -> list[Placement]:
+    """What must move; tasks of arrays are left to end."""
+    return [placed for placed in machine.placements.values() if placed.job.spec.kind == wire.SERVICE]
+
+
 def _hourly(machine: Machine, kinds: dict[str, wire.MachineType]) -> float:
     kind = kinds[machine.kind]
     return kind.spot_price if machine.spot else kind.price
@@ -47,7 +50,7 @@
 ) -> bool:  # fmt: skip
     claimed: list[tuple[Machine, wire.Spec]] = []
     try:
-        for placed in sorted(machine.placements.values(), key=lambda placed: -placed.job.spec.cores):
+        for placed in sorted(_replicas(machine), key=lambda placed: -placed.job.spec.cores):
             spec = placed.job.spec
             warm = [other for other in others if spec.image in other.images]
             zones = zones_without(placed.job, placed)
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -975,9 +975,10 @@
         waiting = any(job.waiting and job.spec.kind == wire.SERVICE for job in self._live.values())
         stopping = any(placed.stopping_at is not None for placed in machine.placements.values())
         if not waiting and not stopping:
-            placed = next(iter(machine.placements.values()))
-            if placed.seen:
-                self._stop(placed, 0.0)
+            for placed in machine.placements.values():
+                if placed.seen and placed.job.spec.kind == wire.SERVICE:
+                    self._stop(placed, 0.0)
+                    break
 
     def _log_fleet(self, now: float) -> None:
         """One line a while: how much of what is paid for is used, by type and kind."""
