--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,75 @@
+"""Kept traces: whole stories of a small deployment, as text that people read (`tests/traces/`).
+
+A change in behaviour shows as a change of the story. When it is meant, keep the new one:
+`FLAXTALLY_KEEP_TRACES=1 python3 -m pytest tests/test_traces.py`, and read the difference before the commit.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from .world import NODES, World, batch, spec
+
+TRACES = Path(__file__).parent / "traces"
+
+
+def quiet_start() -> World:
+    world = World(seed=3)
+    world.submit(spec("j-000001", tasks=2))
+    world.submit(batch("j-000002", 3), run_time=4.0, node=1)
+    world.run(30)
+    world.cancel("j-000001", node=2)
+    world.run(5)
+    return world
+
+
+def leader_crash() -> World:
+    world = World(seed=3)
+    world.submit(spec("j-000001", tasks=2))
+    world.submit(batch("j-000002", 2), run_time=20.0, node=1)
+    world.until(lambda: len(world.running) == 4, 60)
+    world.crash(world.leader() or "", back_after=5.0)
+    world.submit(spec("j-000003"), node=1)
+    world.run(30)
+    world.note(f"leaders: {sum(node.election.leading for node in world.nodes.values())}")
+    return world
+
+
+def hung_machine() -> World:
+    world = World(seed=3)
+    world.submit(spec("j-000001", tasks=2))
+    world.until(lambda: len(world.running) == 2, 60)
+    machine = world.machine_of("j-000001/0")
+    world.note(f"{machine} hangs")
+    world.workers[machine].hung = True
+    world.run(40)
+    return world
+
+
+def all_crash_and_state_outage() -> World:
+    world = World(seed=3)
+    world.submit(spec("j-000001", tasks=2))
+    world.until(lambda: len(world.running) == 2, 60)
+    for name in NODES:
+        world.crash(name, back_after=5.0)
+    world.note("the state service has trouble")
+    world.state.down = True
+    world.run(12)
+    world.note("the state service is back")
+    world.state.recover()
+    world.submit(spec("j-000002"))
+    world.run(20)
+    return world
+
+
+@pytest.mark.parametrize("story", [quiet_start, leader_crash, hung_machine, all_crash_and_state_outage])
+def test_the_story_is_the_kept_one(story: Callable[[], World]) -> None:
+    told = "\n".join(story().trace) + "\n"
+    path = TRACES / f"{story.__name__}.txt"
+    if os.environ.get("FLAXTALLY_KEEP_TRACES"):
+        path.write_text(told)
+    assert told == path.read_text()
