On a notice, batch tasks that can't end in time move at once; results and incidents

Cause: a noticed spot machine kept tasks that were lost with it and was missed only by two failed probes.

--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -444,7 +444,8 @@
 
     def _noticed(self, machine: Machine, notice: float) -> None:
         """The cloud takes the machine: save what can be saved, place nothing more."""
-        machine.notice_until = self.runtime.now() + notice
+        now = self.runtime.now()
+        machine.notice_until = now + notice
         machine.draining = True
         log.info("event=notice term=%d machine=%s in=%.1f tasks=%d", self._term, machine.name, notice,
                  len(machine.placements))  # fmt: skip
@@ -452,6 +453,11 @@
             spec = placed.job.spec
             if spec.checkpoint and placed.state == wire.RUNNING and spec.save < notice:
                 self._stop(placed, spec.save)
+            elif spec.kind != wire.SERVICE and not spec.checkpoint:
+                # What can't end before the machine is taken is lost either way: better begun elsewhere now.
+                left = spec.estimate - (now - placed.ran_at) if placed.ran_at is not None else spec.estimate
+                if left > 1.5 * notice:
+                    self._stop(placed, 0.0)
         self._kick()
 
     # Orders
@@ -791,6 +797,9 @@
             elif age > policy.machine_suspect:
                 if not machine.probing and machine.address:
                     self._probe(machine)
+                if machine.notice_until is not None and now > machine.notice_until:
+                    self._release(machine, "silent, and its notice is over")
+                    continue
                 if age > policy.machine_silence and (machine.failed_probes >= 2 or not machine.address):
                     self._release(machine, f"silent for {age:.1f}s")
             elif machine.draining and not machine.placements and machine.baseline:
