Old ledger pages are cleaned: said anew in short, then dropped

The oldest page's jobs are written anew (final ones as id and state) and the page is dropped in a later transaction; replay passes over records whose job's own page is gone. Checked by the replay property and by a world of 120 jobs with small pages and a crash of all controllers.

--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -905,6 +905,7 @@
         now, policy = self.runtime.now(), self._policy
         if now - self._began < policy.settle / 4 and self.book.jobs and self.machines:
             return
+        self._ledger.clean()
         self._turns += 1
         if self._turns % 10 == 0:
             self._log_fleet(now)
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -125,6 +125,17 @@
     def apply(self, record: Record, page: int) -> None:
         getattr(self, "_apply_" + record[0])(page, *record[1:])
 
+    def replay(self, record: Record, page: int) -> None:
+        """Applies a record that was read back. Records of a job whose own record is not there yet belong
+        to a page that was cleaned: a later snapshot says what they meant."""
+        if record[0] in "TPEC" and record[1] not in self.jobs:
+            return
+        self.apply(record, page)
+
+    def compact(self, job: Job, page: int) -> None:
+        """Shrinks a final job without placements to what must be kept for ever."""
+        self._apply_F(page, job.no, job.spec.ref, wire.ABORTED if job.cancelled else wire.DONE)
+
     def _apply_J(self, page: int, no: int, at: float, *spec: Any) -> None:
         old = self.jobs.get(no)
         if old is not None:
@@ -240,6 +251,12 @@
             records.append(["F", 0, ref, self.finals[ref]])
         return records
 
+    def weight(self) -> int:
+        """About how many bytes the records of a snapshot of everything would take."""
+        return 24 * len(self.finals) + sum(
+            24 if job.final and not job.placed else 260 + 30 * len(job.placed) for job in self.jobs.values()
+        )  # fmt: skip
+
     @staticmethod
     def _runs(job: Job) -> list[list[Any]]:
         runs: list[list[Any]] = []
--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -63,7 +63,8 @@
         self._busy = self._armed = False
         self._confirms: list[Callable[[bool], None]] = []
         self._confirming = False
-        self._first = 1
+        self._drops: list[int] = []
+        self._cleaning = False
 
     def close(self) -> None:
         """This node leads no more: what waited is dropped, and those who asked are told so."""
@@ -91,13 +92,12 @@
                 number = int(row.key[len(PAGES) :])
                 self._pages[number] = row.version
                 for record in row.value["r"]:
-                    self.book.apply(record, number)
+                    self.book.replay(record, number)
             for job in self.book.jobs.values():
                 job.committed = True
                 job.told = wire.ABORTED if job.cancelled else wire.DONE if job.done else ""
                 for placement in job.placed.values():
                     placement.committed = placement.inherited = True
-            self._first = min(self._pages, default=1)
             self._filling = max(self._pages, default=0) + 1
             log.info("event=ledger_read pages=%d jobs=%d", len(rows), len(self.book.jobs))
             ready()
@@ -106,15 +106,63 @@
 
     def propose(self, record: Record, then: Then | None = None) -> None:
         """Applies the record to the book and commits it soon; `then` follows the commit."""
+        size = self._room(record)
+        self.book.apply(record, self._filling)
+        self._add(record, size, then)
+
+    def _room(self, record: Record) -> int:
+        """Makes sure that the page being filled has room for the record; gives the record's size."""
         size = len(msgspec.json.encode(record)) + 1
         if self._size and self._size + size > self._page_bytes:
             self._filling += 1
             self._size = 0
-        self.book.apply(record, self._filling)
+        return size
+
+    def _add(self, record: Record, size: int, then: Then | None) -> None:
         self._size += size
         self._queue.append((record, self._filling, then))
         self._arm()
 
+    # Cleaning: old pages are said anew, shorter, in the page being filled, and then dropped
+
+    def clean(self) -> None:
+        """Cleans the oldest page when the pages hold much more than what they still mean.
+
+        A crash between the new records and the drop leaves both: replay takes the later ones."""
+        oldest = min(self._pages, default=self._filling)
+        few = 8 + 2 * self.book.weight() // self._page_bytes
+        if self._cleaning or self._queue or self._busy or len(self._pages) <= few or oldest >= self._filling - 1:
+            return
+        at_home = [job for job in self.book.jobs.values() if job.home == oldest]
+        if any(job.final and not job.told for job in at_home):
+            return
+        self._cleaning = True
+        log.info("event=clean page=%d of=%d jobs=%d", oldest, len(self._pages), len(at_home))
+        records = self.book.snapshot(oldest)
+        refs = list(self.book.final_home.pop(oldest, ()))
+        for record in records:
+            size = self._room(record)
+            if record[0] == "J":
+                self.book.jobs[record[1]].home = self._filling
+            elif record[0] == "K":
+                self.book.catalog_home = self._filling
+            elif record[0] == "F" and record[1]:
+                self.book.compact(self.book.jobs[record[1]], self._filling)
+            elif record[0] == "F":
+                self.book.final_home.setdefault(self._filling, deque()).append(refs.pop(0))
+            self._add(record, size, None)
+
+        def said() -> None:
+            self._cleaning = False
+            self._drops.append(oldest)
+            self._arm()
+
+        if self._queue:
+            record, page, _ = self._queue.pop()
+            self._queue.append((record, page, said))
+        else:
+            said()
+
     @property
     def backlog(self) -> int:
         return len(self._queue)
@@ -128,11 +176,11 @@
         if generation != self.generation:
             return
         self._armed = False
-        if self._busy or not self._queue:
+        if self._busy or not (self._queue or self._drops):
             return
-        first = self._queue[0][1]
-        last = self._queue[-1][1]
-        cost = min(last - first + 1, self._most_pages)
+        first = self._queue[0][1] if self._queue else 0
+        last = self._queue[-1][1] if self._queue else -1
+        cost = min(last - first + 1, self._most_pages) + len(self._drops)
         if self._bucket.wait(cost) > 0:
             self._armed = True
             self.later(self._bucket.wait(cost), self._commit, generation)
@@ -152,10 +200,14 @@
         for page, records in pages.items():
             guards[page_key(page)] = self._pages.get(page, 0)
             puts[page_key(page)] = {"r": records}
-        drops: list[str] = []
-        self._bucket.take(len(pages))
-        self._content_page = max(pages)
-        self._content = pages[self._content_page]
+        drops = [page_key(page) for page in self._drops]
+        for page in self._drops:
+            guards[page_key(page)] = self._pages.pop(page)
+        self._drops = []
+        self._bucket.take(len(pages) + len(drops))
+        if pages:
+            self._content_page = max(pages)
+            self._content = pages[self._content_page]
         self._busy = True
         self._send(generation, guards, puts, drops, list(pages), False)
 
@@ -190,15 +242,17 @@
     def _read_back(
         self, generation: int, guards: dict[str, int], puts: dict[str, Any], drops: list[str], pages: list[int]
     ) -> None:
-        key = page_key(pages[-1])
+        key = page_key(pages[-1]) if pages else drops[-1]
 
         def told(known: bool, row: wire.Row | None) -> None:
             if generation != self.generation:
                 return
             if not known:
                 self.later(self._retry, self._read_back, generation, guards, puts, drops, pages)
-            elif row is not None and row.version != guards[key] and row.value == puts[key]:
+            elif row is not None and row.version != guards[key] and row.value == puts.get(key):
                 self._committed(pages, row.version)
+            elif row is None and not pages:
+                self._committed(pages, 0)
             else:
                 self._lost()
 
@@ -211,7 +265,7 @@
         thens, self._thens = self._thens, []
         for then in thens:
             self.runtime.soon(self._then, self.generation, then)
-        if self._queue:
+        if self._queue or self._drops:
             self._arm()
 
     def _then(self, generation: int, then: Then) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -195,9 +195,10 @@
     book, records = fill_book(random.Random(seed), steps)
     replayed, rewritten = Book(), Book()
     for record in records:
-        replayed.apply(record, 1)
-    for record in book.snapshot(1):
-        rewritten.apply(record, 2)
+        replayed.replay(record, 1)
+    # The first page is cleaned and gone; what was written since, before the snapshot, is still there.
+    for record in [*records[len(records) // 2 :], *book.snapshot(1)]:
+        rewritten.replay(record, 2)
     assert picture(replayed) == picture(book)
     assert picture(rewritten) == picture(book)
     attempts = {(job.spec.ref, task): attempt for job in book.jobs.values() if not job.final
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -411,3 +411,23 @@
     leader = world.nodes[world.leader() or ""].leader
     used = sum(machine.cores for machine in leader.machines.values())
     assert used == sum(usage.cores for usage in leader.book.usage.values()) == 16.0
+
+
+def test_old_pages_are_cleaned_and_nothing_is_forgotten() -> None:
+    # Pages must not grow with the days; final states are kept for ever, through takeovers too.
+    world = World(value_bytes=1024)
+    world.submit(spec("j-900000", tasks=2))
+    for number in range(120):
+        world.sim.at(number * 0.5, world.submit, batch(f"j-{number:06d}", 1), 1.0, number)
+    world.sim.at(40.0, world.cancel, "j-000119")
+    world.run(70)
+    held = dict(world.running)
+    written = max(int(key[2:]) for key in world.state.rows if key.startswith("p/"))
+    kept = sum(key.startswith("p/") for key in world.state.rows)
+    assert kept < written / 2
+    for name in NODES:
+        world.crash(name, back_after=1.0)
+    world.run(20)
+    assert {task: held[task] for task in held if task.startswith("j-9")} == world.running
+    for number in range(0, 119, 7):
+        assert world.ask(f"j-{number:06d}")[1]["stage"] == "done"
--- a/tests/world.py
+++ b/tests/world.py
@@ -46,7 +46,8 @@
 class World:
     """Controllers, state service, cloud, workers, users."""
 
-    def __init__(self, seed: int = 1, team: Team | None = None) -> None:
+    def __init__(self, seed: int = 1, team: Team | None = None, value_bytes: int = 8192) -> None:
+        self.value_bytes = value_bytes
         self.sim = Sim(seed)
         self.rng = random.Random(seed)
         self.team = team or Team("crew", 0.0, 200.0, 0.0, 64.0)
@@ -81,7 +82,7 @@
             peers={other: (ZONES[NODES.index(other) % 2], (self.ip(other), 8081)) for other in NODES if other != node},
             cloud=CLOUD, state=STATE, zones=ZONES, teams={"crew": self.team}, objectives=(),
             report_s=1.5, lease_s=10.0, cancel_s=CANCEL_S, state_rps=250.0, state_write_rps=40.0,
-            value_bytes=8192, txn_ops=32, cloud_rps=3.0, list_lag_s=1.0, max_sockets=500,
+            value_bytes=self.value_bytes, txn_ops=32, cloud_rps=3.0, list_lag_s=1.0, max_sockets=500,
         )  # fmt: skip
         self.nodes[node] = Node(
             self.sim.host(self.ip(node)), settings, policy.default(settings), random.Random(self.rng.random())
@@ -135,7 +136,8 @@
             return
         # The rules, at the moment at which they could be broken.
         assert task not in self.running, f"ran_twice: {task} on {self.running.get(task)} and {machine}"
-        assert ref in self.accepted or ref in self.told_cancelled, f"started before it was accepted: {task}"
+        # Its user may hear of it a little later, but it and the placement must be committed.
+        assert [task, attempt, machine] in self.committed(), f"started before its record was committed: {task}"
         if ref in self.told_cancelled:
             assert self.sim.time <= self.told_cancelled[ref] + CANCEL_S, f"ran_cancelled: {task}"
         self.running[task] = (machine, attempt)
@@ -150,6 +152,13 @@
         assert used <= self.team.cores_max, "quota"
         assert gpus <= self.team.gpus_max, "quota"
 
+    def committed(self) -> list[list[Any]]:
+        """[task, attempt, machine] of every placement in the state service's pages."""
+        pages = [row[0]["r"] for key, row in sorted(self.state.rows.items()) if key.startswith("p/")]
+        records = [record for page in pages for record in page]
+        refs = {record[1]: record[3] for record in records if record[0] == "J"}
+        return [[f"{refs.get(record[1])}/{record[2]}", *record[3:5]] for record in records if record[0] == "P"]
+
     # Users
 
     def call(self, node: str, method: str, path: str, body: Any, done: Callable[[int, Any], None]) -> None:
