--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -786,6 +786,7 @@
                     machine = self.machines.get(placed.machine)
                     if machine is not None and not machine.releasing:
                         self._release(machine, "cancelled task not confirmed gone")
+        dark = self._dark_zones(now)
         for machine in list(self.machines.values()):
             if machine.releasing:
                 continue
@@ -800,7 +801,8 @@
                 if machine.notice_until is not None and now > machine.notice_until:
                     self._release(machine, "silent, and its notice is over")
                     continue
-                if age > policy.machine_silence and (machine.failed_probes >= 2 or not machine.address):
+                patience = policy.zone_silence if machine.zone in dark else policy.machine_silence
+                if age > patience and (machine.failed_probes >= 2 or not machine.address):
                     self._release(machine, f"silent for {age:.1f}s")
             elif machine.draining and not machine.placements and machine.baseline:
                 self._release(machine, "drained")
@@ -810,6 +812,17 @@
             self._kick_later()
         self._backoff = {no: until for no, until in self._backoff.items() if until > now - policy.settle}
 
+    def _dark_zones(self, now: float) -> set[str]:
+        """Zones in which most machines fell silent together: that is the network or a controller, and the
+        machines are likely well."""
+        counts: dict[str, list[int]] = {}
+        for machine in self.machines.values():
+            if not machine.booting and not machine.releasing:
+                count = counts.setdefault(machine.zone, [0, 0])
+                count[0] += 1
+                count[1] += now - machine.heard_at > self._policy.machine_suspect
+        return {zone for zone, (up, silent) in counts.items() if silent >= 3 and silent * 2 > up}
+
     def _probe(self, machine: Machine) -> None:
         machine.probing = True
         term, server = self._term, self._settings.node
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -43,7 +43,7 @@
         )  # fmt: skip
         self.peers.mail = Mail(
             runtime, settings.node, list(settings.peers), store, policy.mail, settings.value_bytes * 7 // 8,
-            lambda peer: not self.peers.direct(peer), self._mails, self._receive,
+            self.peers.silent, self._mails, self._receive,
         )  # fmt: skip
         self.dispatch = Dispatch(runtime, settings, policy, self.election, self.peers, workers)
         self.ledger = Ledger(
--- a/flaxtally/peers.py
+++ b/flaxtally/peers.py
@@ -64,6 +64,7 @@
         self.stream: Stream | None = None
         self.dialled_at = float("-inf")
         self.refused_at = float("-inf")
+        self.deaf = False
 
 
 class Peers(Actor):
@@ -94,12 +95,15 @@
         link = self._links.get(node)
         if link is None:
             return
-        if self.mail is not None and not self.direct(node):
+        if self.mail is not None and self.silent(node):
             self.mail.post(node, frame)
         now = self.runtime.now()
         stale = now - self.heard[node] > 2 * self._silence and now - link.dialled_at > 2 * self._silence
-        if link.stream is not None and stale:
-            # A cut may hold packets for minutes: what waits in the old connection is better lost.
+        unheard = link.deaf and now - link.dialled_at > 2 * self._silence
+        if link.stream is not None and (stale or unheard):
+            # A cut may hold packets for minutes: what waits in the old connection is better lost. And the
+            # peer may have begun anew during a cut: then this connection leads nowhere, and nothing says so
+            # but the peer itself, whose own connection to us works.
             link.stream.close()
             link.stream = None
         if link.stream is None:
@@ -115,9 +119,15 @@
         link.stream.on_close = lambda: self._lost(node, link)
         link.stream.send(encode({"k": "hello", "node": self._node}))
 
+    def silent(self, node: str) -> bool:
+        """Whether one of the two directions of the link seems dead."""
+        link = self._links.get(node)
+        return not self.direct(node) or (link is not None and link.deaf)
+
     def broadcast(self, frame: Frame) -> None:
+        """To every peer, with word on whether we hear it."""
         for node in self._links:
-            self.send(node, frame)
+            self.send(node, frame | {"hears": self.direct(node)})
 
     def _lost(self, node: str, link: _Link) -> None:
         link.stream = None
@@ -156,6 +166,8 @@
                     sender.append(str(node))
                     continue
                 self.heard[sender[0]] = self.runtime.now()
+                if "hears" in frame:
+                    self._links[sender[0]].deaf = frame["hears"] is False
                 try:
                     self._receive(sender[0], frame)
                 except Exception:
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -20,6 +20,7 @@
     mail: float
     machine_suspect: float
     machine_silence: float
+    zone_silence: float
     settle: float
     unattended: float
     cancel_patience: float
@@ -48,6 +49,7 @@
         mail=report / 3,
         machine_suspect=report * 2.2,
         machine_silence=report * 4,
+        zone_silence=lease * 2.5,
         settle=lease,
         unattended=max(lease / 2, (cancel - lease) * 0.85),
         cancel_patience=cancel / 2,
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -431,3 +431,41 @@
     assert {task: held[task] for task in held if task.startswith("j-9")} == world.running
     for number in range(0, 119, 7):
         assert world.ask(f"j-{number:06d}")[1]["stage"] == "done"
+
+
+def test_a_peer_that_began_anew_during_a_cut_hears_us_again() -> None:
+    # Found on a drawn day: the leader's old connection to a controller that had crashed beyond a cut led
+    # nowhere, while that controller's own reached the leader. Reports came, and every order was lost.
+    world = serving()
+    leader = world.leader()
+    assert leader
+    other = next(name for name in NODES if name != leader)
+    world.sim.cut(world.ip(leader), world.ip(other))
+    world.run(2)
+    world.crash(other, back_after=3.0)
+    world.run(6)
+    world.sim.heal(world.ip(leader), world.ip(other))
+    world.run(5)
+    assert world.nodes[leader].peers.direct(other)
+    assert world.nodes[other].peers.direct(leader)
+
+
+def test_a_zone_that_falls_silent_at_once_is_waited_for() -> None:
+    # Found on a drawn day: beyond a cut the only controller crashed. The leader took the whole zone's
+    # machines for dead, and released them just as that controller was back.
+    world = World()
+    for number in range(24):
+        world.submit(spec(f"j-{number:06d}", tasks=2, cores=8.0))
+    assert world.until(lambda: len(world.running) == 2 * 12, 90), len(world.running)
+    far = [name for name, worker in world.workers.items() if worker.machine.zone == "b"]
+    assert len(far) >= 3
+    for name in far:
+        for node in NODES:
+            world.sim.cut(world.ip(node), world.ip_of(name))
+    world.run(14)
+    assert all(name in world.workers for name in far)
+    for name in far:
+        for node in NODES:
+            world.sim.heal(world.ip(node), world.ip_of(name))
+    world.run(15)
+    assert all(name in world.workers for name in far)
