--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -18,14 +18,17 @@
 def pick(
     machines: Sequence[Machine], kinds: dict[str, wire.MachineType], needs: GpuNeeds, sample: int,
     rng: random.Random, zones_without: Callable[[Job, Placement], dict[str, bool]],
-    settled: Callable[[Placement], bool],
+    settled: Callable[[Placement], bool], beside_arrays: bool,
 ) -> Machine | None:  # fmt: skip
-    """The machine whose return saves most a replica moved, if all on it fit on other used machines."""
+    """The machine whose return saves most a replica moved, if all on it fit on other used machines.
+
+    `beside_arrays`: also one where array tasks still run, which will take none while it is emptied."""
     candidates = [
         machine
         for machine in machines
         if _replicas(machine) and all(settled(placed) for placed in _replicas(machine))
-    ]
+        and (beside_arrays or len(_replicas(machine)) == len(machine.placements))
+    ]  # fmt: skip
     candidates.sort(key=lambda machine: -_hourly(machine, kinds) / len(_replicas(machine)))
     for machine in candidates[: max(1, sample // 4)]:
         others = [other for other in machines if other is not machine and other.placements]
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -104,7 +104,7 @@
         self._specs: dict[Shape, wire.Spec] = {}
         self._releasing_now = False
         self._running: dict[str, int] = {}
-        self._reserved: dict[str, tuple[int, float]] = {}
+        self._reserved: dict[str, dict[tuple[int, int], tuple[int, float, wire.Spec]]] = {}
         self._preempted: dict[tuple[int, int], float] = {}
         self._exits: dict[tuple[str, str, int], Placement] = {}
 
@@ -608,7 +608,7 @@
             return
         now = self.runtime.now()
         machines = self._usable()
-        self._reserved = {name: entry for name, entry in self._reserved.items() if entry[1] > now}
+        self._expire_claims(now)
         hopeless: set[Shape] = set()
         for job in self._queue():
             if self._backoff.get(job.no, 0.0) > now:
@@ -624,7 +624,8 @@
                 zones = self._zones_open(job)
                 rank = wire.RANKS[spec.rank]
                 unreserved = [
-                    machine for machine in machines if rank <= self._reserved.get(machine.name, (9, 0.0))[0]
+                    machine for machine in machines
+                    if all(rank <= claim[0] for claim in self._reserved.get(machine.name, {}).values())
                 ] if self._reserved else machines  # fmt: skip
                 chosen = placement.choose(
                     spec, job.no, unreserved, self.kinds, self._needs, self._policy.sample, self._rng, zones
@@ -636,6 +637,18 @@
                     break
                 self._place(job, chosen)
 
+    def _expire_claims(self, now: float) -> None:
+        """Drops the claims on room that were made good, or have waited too long."""
+        kept = {}
+        for name, claims in self._reserved.items():
+            live = {
+                key: claim for key, claim in claims.items()
+                if claim[1] > now and (job := self.book.jobs.get(key[0])) is not None and key[1] not in job.placed
+            }  # fmt: skip
+            if live:
+                kept[name] = live
+        self._reserved = kept
+
     def _preempt(self, job: Job, machines: list[Machine], zones: dict[str, bool]) -> None:
         """Makes room for a task by stopping tasks of lower rank where the least work is lost.
 
@@ -650,9 +663,6 @@
             kind = self.kinds[machine.kind]
             if not zones.get(machine.zone, True) or not placement.allowed(spec, kind, machine.zone, machine.spot):
                 continue
-            if machine.name in self._reserved:
-                # What is being stopped there makes room for another job; it can't make it twice.
-                continue
             lower = [
                 placed for placed in machine.placements.values()
                 if placed.seen and (
@@ -664,6 +674,9 @@
             ]  # fmt: skip
             lower.sort(key=lambda placed: self._loss(placed, now))
             left, loss, victims = placement.room(machine, kind), 0.0, list[Placement]()
+            for _, _, claim in self._reserved.get(machine.name, {}).values():
+                # What is being stopped there makes room for another task; it can't make it twice.
+                left = placement.Room(left.cores - claim.cores, left.gpus - claim.gpus, left.ram - claim.ram)
             for placed in lower:
                 if left.holds(spec):
                     break
@@ -680,7 +693,7 @@
         until = now + 2 * self._policy.order_call + max(placed.job.spec.save for placed in victims)
         self._preempted[key] = until
         self._preempted = {key: until for key, until in self._preempted.items() if until > now}
-        self._reserved[machine.name] = (rank, until)
+        self._reserved.setdefault(machine.name, {})[key] = (rank, until, spec)
         log.info("event=preempt term=%d job=%s machine=%s stopped=%d loss=%.0f", self._term, spec.ref, machine.name,
                  len(victims), loss)  # fmt: skip
         for placed in victims:
@@ -962,7 +975,8 @@
                 now - placed.ran_at > self._policy.move_after)  # fmt: skip
 
         machine = consolidate.pick(
-            usable, self.kinds, self._needs, self._policy.sample, self._rng, self._zones_without, settled
+            usable, self.kinds, self._needs, self._policy.sample, self._rng, self._zones_without, settled,
+            not any(job.waiting for job in self._live.values()),
         )  # fmt: skip
         if machine is None:
             return
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -469,3 +469,18 @@
             world.sim.heal(world.ip(node), world.ip_of(name))
     world.run(15)
     assert all(name in world.workers for name in far)
+
+
+def test_two_preemptions_on_one_machine_do_not_count_the_same_room_twice() -> None:
+    # Found when a machine with two replicas died: both waited for the same four stopped tasks. Then a
+    # machine taken by one preemption was closed to all others, and teams' guarantees waited.
+    world = World()
+    for key in world.cloud._capacity:
+        world.cloud._capacity[key] = 1 if key == ("g8", "a", False) else 0
+    world.submit(batch("j-000100", 8), run_time=300.0)
+    assert world.until(lambda: world.count("j-000100") == 8, 60)
+    world.submit(spec("j-000001", gpus=2.0, cores=6.0))
+    world.submit(spec("j-000002", gpus=2.0, cores=6.0), node=1)
+    assert world.until(lambda: world.count("j-000001") + world.count("j-000002") == 2, 3), world.trace
+    world.run(10)
+    assert world.count("j-000100") == 4
