One check of what a machine may hold, one of whether it is spare, one zone share

The planner's fits() was placement.allowed() again; the test whether no step needs a machine stood twice and built the demand anew for each machine and step; half of a spread job's tasks was worked out in four places; a takeover looked machines up beside _adopt(). Unused names are gone.

--- a/flaxtally/fill.py
+++ b/flaxtally/fill.py
@@ -13,7 +13,7 @@
 
 from . import wire
 from .forecast import Shape
-from .placement import SLACK, GpuNeeds
+from .placement import SLACK, GpuNeeds, allowed
 
 
 @dataclass
@@ -26,7 +26,6 @@
     cores: float
     gpus: float
     ram: float
-    ready_at: float = 0.0
     name: str = ""
 
 
@@ -69,17 +68,6 @@
             self.caps[zone] = self.cap(zone) - count
 
 
-def fits(shape: Shape, kind: wire.MachineType, zone: str, spot: bool) -> bool:
-    return (
-        (shape.types is None or kind.name in shape.types)
-        and (shape.zone is None or shape.zone == zone)
-        and (shape.spot or not spot)
-        and shape.cores <= kind.cores + SLACK
-        and shape.gpus <= kind.gpus + SLACK
-        and shape.ram <= kind.ram + SLACK
-    )
-
-
 def _slots(shape: Shape, room: Bin, needs: GpuNeeds) -> int:
     """How many tasks of a shape a bin still takes."""
     cores, ram = room.cores, room.ram
@@ -103,7 +91,7 @@
     shape = demand.shape
     # Spot machines first for what may use them, plain ones first for what needs no GPU.
     for room in sorted(
-        (room for room in rooms if fits(shape, room.kind, room.zone, room.spot)),
+        (room for room in rooms if allowed(shape, room.kind, room.zone, room.spot)),
         key=lambda room: (shape.spot and not room.spot, bool(room.kind.gpus) and not shape.gpus),
     ):
         if left <= 0:
@@ -127,7 +115,7 @@
     hours = max(demand.until - first, 1.0) / 3600
     for pool in pools:
         kind = kinds[pool.kind]
-        if not fits(shape, kind, pool.zone, pool.spot):
+        if not allowed(shape, kind, pool.zone, pool.spot):
             continue
         fresh = Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram)
         served = min(count, _slots(shape, fresh, needs), demand.cap(pool.zone))
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -143,13 +143,8 @@
             machine.address, machine.booting = report.address, False
             machine.session = report.session
         for name, there in self.book.on_machine.items():
-            if name not in self.machines:
-                zone = next(iter(there.values())).zone
-                self.machines[name] = Machine(name, "", zone, False, now)
-            machine = self.machines[name]
-            machine.booting = False
-            for placed in there.values():
-                machine.use(placed)
+            # Its type is not known before it reports or is listed.
+            self._adopt(name, "", next(iter(there.values())).zone, False).booting = False
         for machine in self.machines.values():
             machine.heard_at = now + self._policy.settle / 2
             self._push_token(machine)
@@ -186,7 +181,7 @@
             return
         ref = spec.ref
         if ref in self.book.finals or ref in self.book.by_ref:
-            self._status(ref, answer, known_only=False)
+            self._status(ref, answer)
             return
         if not self.kinds or self._ledger.backlog > MOST_BACKLOG:
             answer(503, None)
@@ -229,9 +224,9 @@
         if not self.active:
             answer(503, None)
             return
-        self._status(ref, answer, known_only=True)
+        self._status(ref, answer)
 
-    def _status(self, ref: str, answer: Answer, known_only: bool) -> None:
+    def _status(self, ref: str, answer: Answer) -> None:
         job = self.book.by_ref.get(ref)
         if job is None and ref in self.book.finals:
             answer(200, wire.job_status(ref, self.book.finals[ref]))
@@ -275,7 +270,7 @@
             return
         job = self.book.by_ref.get(ref)
         if job is None or job.told or not job.committed:
-            self._status(ref, answer, known_only=True)
+            self._status(ref, answer)
             return
         if job.done or job.cancelled:
             # Its end is being committed.
@@ -717,7 +712,7 @@
             there = [machine for machine in machines if machine.zone in zones]
             for _ in range(count):
                 counts = [machine.zone for machine in chosen]
-                most = (spec.tasks + 1) // 2 if spec.spread else count
+                most = spec.zone_share if spec.spread else count
                 shut = {zone: False for zone in zones if counts.count(zone) >= most}
                 machine = placement.choose(
                     spec, job.no, there, self.kinds, self._needs, self._policy.sample, self._rng, shut
@@ -753,8 +748,7 @@
             taken = {placed.zone for placed in job.placed.values()}
             return {zone: zone in taken and len(taken) == 1 for zone in self._all_zones()}
         if spec.spread:
-            most = (spec.tasks + 1) // 2
-            return {zone: False for zone in self._all_zones() if job.zone_count(zone) >= most}
+            return {zone: False for zone in self._all_zones() if job.zone_count(zone) >= spec.zone_share}
         return {}
 
     def _all_zones(self) -> set[str]:
@@ -939,7 +933,7 @@
         self._resting = {pool: until for pool, until in self._resting.items() if until > now}
         demands = self._demands(now)
         steps = []
-        for at in (policy.plan_lead / 2, policy.plan_lead):
+        for at in self._steps():
             steps.append((at, [self._at(demand, at, now) for demand in demands], self._rooms(now, at)))
         pools = [
             Pool(kind.name, zone, spot)
@@ -952,7 +946,7 @@
             wanted.setdefault(rent.pool, []).append(rent)
         for pool, group in list(wanted.items())[: max(1, int(self._settings.cloud_rps * policy.plan_step))]:
             self._rent(pool, min(len(group), MOST_RENTED), group[0])
-        self._give_back(now, steps)
+        self._give_back(now, demands)
         self._consolidate(now)
 
     # Moving replicas off thinly used machines
@@ -980,8 +974,7 @@
         )  # fmt: skip
         if machine is None:
             return
-        steps = (self._policy.plan_lead / 2, self._policy.plan_lead)
-        if all(self._enough(at, [self._at(d, at, now) for d in self._demands(now)], now, machine.name) for at in steps):
+        if self._spare(machine, self._demands(now), now):
             log.info("event=empty term=%d machine=%s type=%s zone=%s replicas=%d", self._term, machine.name,
                      machine.kind, machine.zone, len(machine.placements))  # fmt: skip
             self._moving = machine.name
@@ -993,8 +986,9 @@
             return {zone: zone == placed.zone for zone in self._all_zones()}
         if not job.spec.spread:
             return {}
-        most = (job.spec.tasks + 1) // 2
-        return {zone: job.zone_count(zone) - (zone == placed.zone) < most for zone in self._all_zones()}
+        return {
+            zone: job.zone_count(zone) - (zone == placed.zone) < job.spec.zone_share for zone in self._all_zones()
+        }  # fmt: skip
 
     def _move_on(self, now: float) -> None:
         if self._moving is None:
@@ -1075,7 +1069,7 @@
             if spec.spread:
                 caps = demand.caps = demand.caps or {}
                 for zone in self._settings.zones:
-                    caps[zone] = caps.get(zone, 0) + max(0, (spec.tasks + 1) // 2 - job.zone_count(zone))
+                    caps[zone] = caps.get(zone, 0) + max(0, spec.zone_share - job.zone_count(zone))
         for shape, spec in self._specs.items():
             if shape not in counts and self._typical(shape) and (
                 self._arrivals.rate(shape.lane, now) > 0 or shape.lane in self._reserve
@@ -1085,7 +1079,7 @@
                     counts[shape].caps = dict.fromkeys(self._settings.zones, 0)
         for demand in counts.values():
             for machine in self.machines.values():
-                if machine.kind in self.kinds and fill.fits(
+                if machine.kind in self.kinds and placement.allowed(
                     demand.shape, self.kinds[machine.kind], machine.zone, machine.spot
                 ):
                     demand.zones[machine.zone] = demand.zones.get(machine.zone, 0) + 1
@@ -1125,7 +1119,7 @@
             if not machine.booting and now - machine.heard_at > self._policy.machine_suspect:
                 continue
             room = placement.room(machine, kind)
-            space = Bin(kind, machine.zone, machine.spot, room.cores, room.gpus, room.ram, 0.0, machine.name)
+            space = Bin(kind, machine.zone, machine.spot, room.cores, room.gpus, room.ram, machine.name)
             if at:
                 for placed in machine.placements.values():
                     spec = placed.job.spec
@@ -1191,7 +1185,7 @@
             elif now - asked > self._policy.order_call:
                 self._hire(request)
 
-    def _give_back(self, now: float, steps: list[tuple[float, list[Demand], list[Bin]]]) -> None:
+    def _give_back(self, now: float, demands: list[Demand]) -> None:
         """Returns machines proven empty, idle through the cool-down, that no step's demand needs."""
         idle = [
             machine
@@ -1203,13 +1197,21 @@
             return
         idle.sort(key=lambda machine: -self.kinds[machine.kind].price)
         for machine in idle:
-            if all(
-                self._enough(at, demands, now, machine.name)
-                for at, demands in [(at, [self._at(d, at, now) for d in self._demands(now)]) for at, _, _ in steps]
-            ):
+            if self._spare(machine, demands, now):
                 self._release(machine, f"idle for {now - machine.idle_since:.0f}s, no step needs it")
         self._flush_releases()
 
+    def _steps(self) -> tuple[float, float]:
+        """The times ahead that the plan looks at."""
+        return self._policy.plan_lead / 2, self._policy.plan_lead
+
+    def _spare(self, machine: Machine, demands: list[Demand], now: float) -> bool:
+        """Whether no step's demand needs the machine."""
+        return all(
+            self._enough(at, [self._at(demand, at, now) for demand in demands], now, machine.name)
+            for at in self._steps()
+        )  # fmt: skip
+
     def _enough(self, at: float, demands: list[Demand], now: float, without: str) -> bool:
         """Whether the demand that the rooms can hold is held just as well without this machine."""
         rooms = self._rooms(now, at)
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -22,7 +22,6 @@
 from .. import wire
 
 Record = list[Any]
-UNPLACED = 0
 
 
 class Placement:
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -8,6 +8,7 @@
 
 from . import wire
 from .fleet import Machine
+from .forecast import Shape
 
 SLACK = 1e-6
 
@@ -30,8 +31,8 @@
     return Room(kind.cores - machine.cores, kind.gpus - machine.gpus, kind.ram - machine.ram)
 
 
-def allowed(spec: wire.Spec, kind: wire.MachineType, zone: str, spot: bool) -> bool:
-    """Whether the job may use this kind of machine at all."""
+def allowed(spec: wire.Spec | Shape, kind: wire.MachineType, zone: str, spot: bool) -> bool:
+    """Whether a job, or a planner's shape of jobs, may use this kind of machine at all."""
     return (
         (spec.types is None or kind.name in spec.types)
         and (spec.zone is None or spec.zone == zone)
--- a/flaxtally/wire.py
+++ b/flaxtally/wire.py
@@ -51,6 +51,11 @@
     save: float
     deadline: float | None
 
+    @property
+    def zone_share(self) -> int:
+        """How many tasks of a job that spreads may be in one zone."""
+        return (self.tasks + 1) // 2
+
 
 class Submission(msgspec.Struct, rename={
     "team": "crew", "kind": "craft", "tasks": "hands", "gpus": "cards", "ram": "ramGb", "image": "mold",
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -378,13 +378,19 @@
     assert len(world.running) == 10
 
 
-def test_a_critical_replica_takes_the_room_of_batch_tasks() -> None:
-    # All GPUs are taken by batch tasks and the cloud has no more: the replica must not wait for them.
+def crowded() -> World:
+    """A world whose only GPU machine is full of batch tasks."""
     world = World()
     for key in world.cloud._capacity:
         world.cloud._capacity[key] = 1 if key == ("g8", "a", False) else 0
     world.submit(batch("j-000100", 8), run_time=300.0)
     assert world.until(lambda: world.count("j-000100") == 8, 60)
+    return world
+
+
+def test_a_critical_replica_takes_the_room_of_batch_tasks() -> None:
+    # All GPUs are taken by batch tasks and the cloud has no more: the replica must not wait for them.
+    world = crowded()
     world.submit(spec("j-000001", gpus=2.0, cores=6.0))
     assert world.until(lambda: world.count("j-000001") == 1, 10), world.trace
     world.run(10)
@@ -474,11 +480,7 @@
 def test_two_preemptions_on_one_machine_do_not_count_the_same_room_twice() -> None:
     # Found when a machine with two replicas died: both waited for the same four stopped tasks. Then a
     # machine taken by one preemption was closed to all others, and teams' guarantees waited.
-    world = World()
-    for key in world.cloud._capacity:
-        world.cloud._capacity[key] = 1 if key == ("g8", "a", False) else 0
-    world.submit(batch("j-000100", 8), run_time=300.0)
-    assert world.until(lambda: world.count("j-000100") == 8, 60)
+    world = crowded()
     world.submit(spec("j-000001", gpus=2.0, cores=6.0))
     world.submit(spec("j-000002", gpus=2.0, cores=6.0), node=1)
     assert world.until(lambda: world.count("j-000001") + world.count("j-000002") == 2, 3), world.trace
