The scheduler looks at samples; what found no room is not asked for again in a pass

Cause: profiled on a simulated fleet of 290 machines and seven controllers (60 s, 312 jobs), 139 of 150 s of processor time went to the leader's scheduler: each waiting task looked at every machine for room, and again at every machine and task for someone to stop, in every pass. Change: a pass knows its pools once, draws from a random place, ends with a sample; a shape that found none is not looked for again in the pass; passes rest three times their own length.

--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -12,7 +12,7 @@
 from . import wire
 from .fleet import Machine
 from .ledger.book import Job, Placement
-from .placement import GpuNeeds, choose
+from .placement import GpuNeeds, Stock, choose
 
 
 def pick(
@@ -30,9 +30,11 @@
         and (beside_arrays or len(_replicas(machine)) == len(machine.placements))
     ]  # fmt: skip
     candidates.sort(key=lambda machine: -_hourly(machine, kinds) / len(_replicas(machine)))
+    if not candidates:
+        return None
+    stock = Stock((machine for machine in machines if machine.placements), kinds, rng)
     for machine in candidates[: max(1, sample // 4)]:
-        others = [other for other in machines if other is not machine and other.placements]
-        if _fits(machine, others, kinds, needs, sample, rng, zones_without):
+        if _fits(machine, stock, needs, sample, zones_without):
             return machine
     return None
 
@@ -48,16 +50,17 @@
 
 
 def _fits(
-    machine: Machine, others: list[Machine], kinds: dict[str, wire.MachineType], needs: GpuNeeds, sample: int,
-    rng: random.Random, zones_without: Callable[[Job, Placement], dict[str, bool]],
+    machine: Machine, stock: Stock, needs: GpuNeeds, sample: int,
+    zones_without: Callable[[Job, Placement], dict[str, bool]],
 ) -> bool:  # fmt: skip
     claimed: list[tuple[Machine, wire.Spec]] = []
     try:
         for placed in sorted(_replicas(machine), key=lambda placed: -placed.job.spec.cores):
             spec = placed.job.spec
-            warm = [other for other in others if spec.image in other.images]
-            zones = zones_without(placed.job, placed)
-            target = choose(spec, placed.job.no, warm, kinds, needs, sample, rng, zones)
+            target = choose(
+                spec, placed.job.no, stock, needs, sample, zones_without(placed.job, placed),
+                lambda other, image=spec.image: other is not machine and image in other.images,  # type: ignore[misc]
+            )  # fmt: skip
             if target is None:
                 return False
             target.claim(spec, 1)
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -65,6 +65,8 @@
         self._settings, self._policy, self._ledger, self._cloud = settings, policy, ledger, cloud
         self._election, self._carrier, self._rng = election, carrier, rng
         self.active = False
+        self.looked = 0
+        """Machines that the scheduler looked at, in all."""
         self._term = 0
         self._beyond: set[int] = set()
         self._finish_within: dict[str, list[float]] = {}
@@ -89,6 +91,8 @@
         self._arrivals = Arrivals(self._policy.plan_horizon, self._policy.plan_step * 2)
         self._outbox: dict[str, list[tuple[dict[str, Any], Placement | None]]] = {}
         self._kicked = False
+        self._next_pass = 0.0
+        self._zones = set(self._settings.zones)
         self._began = self.runtime.now()
         self._hires = 0
         self._turns = 0
@@ -372,9 +376,10 @@
             placed.state = task.state
             if task.state == wire.RUNNING and placed.ran_at is None:
                 placed.ran_at = now
-                log.debug("event=running term=%d task=%s attempt=%d machine=%s type=%s queued=%.2f "
+                log.debug("event=running term=%d task=%s lane=%s attempt=%d machine=%s type=%s spot=%s queued=%.2f "
                           "starting=%.2f cached=%s",
-                          self._term, placed.name, placed.attempt, machine.name, machine.kind,
+                          self._term, placed.name, placed.job.spec.lane, placed.attempt, machine.name,
+                          machine.kind, machine.spot,
                           placed.proposed_at - placed.job.known_at, now - placed.proposed_at,
                           placed.job.spec.image in machine.images)  # fmt: skip
                 kind = self.kinds.get(machine.kind)
@@ -539,7 +544,7 @@
     def _kick(self) -> None:
         if not self._kicked and self.active:
             self._kicked = True
-            self.later(0.002, self._schedule, self._term)
+            self.later(max(0.002, self._next_pass - self.runtime.now()), self._schedule, self._term)
 
     def _note_spec(self, spec: wire.Spec) -> None:
         self._specs[Shape.of(spec)] = spec
@@ -602,35 +607,48 @@
             self._kick_later()
             return
         now = self.runtime.now()
-        machines = self._usable()
+        stock = placement.Stock(self._usable(), self.kinds, self._rng)
         self._expire_claims(now)
-        hopeless: set[Shape] = set()
+        # Within a pass room only shrinks: what found none, its like needn't look for.
+        full: set[tuple[Shape, frozenset[str]]] = set()
+        firm: set[tuple[Shape, frozenset[str], str | None]] = set()
         for job in self._queue():
             if self._backoff.get(job.no, 0.0) > now:
                 continue
             spec = job.spec
             shape = Shape.of(spec)
-            if shape in hopeless and not spec.spread:
-                continue
             if spec.kind == wire.GANG and not job.placed:
-                self._place_gang(job, machines)
+                self._place_gang(job, stock)
                 continue
+            rank = wire.RANKS[spec.rank]
+            keep = self._unclaimed_by(rank) if self._reserved else None
             while job.waiting and self._within_limit(spec):
                 zones = self._zones_open(job)
-                rank = wire.RANKS[spec.rank]
-                unreserved = [
-                    machine for machine in machines
-                    if all(rank <= claim[0] for claim in self._reserved.get(machine.name, {}).values())
-                ] if self._reserved else machines  # fmt: skip
-                chosen = placement.choose(
-                    spec, job.no, unreserved, self.kinds, self._needs, self._policy.sample, self._rng, zones
-                )  # fmt: skip
-                if chosen is None:
-                    self._preempt(job, machines, zones)
-                    if not zones and not spec.spread:
-                        hopeless.add(shape)
-                    break
-                self._place(job, chosen)
+                shut = frozenset(zone for zone, is_open in zones.items() if not is_open)
+                chosen = None
+                if (shape, shut) not in full:
+                    chosen = placement.choose(spec, job.no, stock, self._needs, self._policy.sample, zones, keep)
+                if chosen is not None:
+                    self._place(job, chosen)
+                    continue
+                full.add((shape, shut))
+                # Batch work stops others for one task of a shape at a time. For services, who may be stopped
+                # depends on the team too, while they are within its guarantee.
+                kin = shape, shut, spec.team if spec.spread and job.no not in self._beyond else None
+                if kin not in firm and not (self._preempt(job, stock, zones) and spec.spread):
+                    firm.add(kin)
+                break
+        self.looked += stock.looked
+        ended = self.runtime.now()
+        self._next_pass = ended + self._policy.pass_rest * (ended - now)
+
+    def _unclaimed_by(self, rank: int) -> Callable[[Machine], bool]:
+        """Whether a machine's room is not claimed by somebody more important."""
+
+        def keep(machine: Machine) -> bool:
+            return all(rank <= claim[0] for claim in self._reserved.get(machine.name, {}).values())
+
+        return keep
 
     def _expire_claims(self, now: float) -> None:
         """Drops the claims on room that were made good, or have waited too long."""
@@ -644,46 +662,32 @@
                 kept[name] = live
         self._reserved = kept
 
-    def _preempt(self, job: Job, machines: list[Machine], zones: dict[str, bool]) -> None:
-        """Makes room for a task by stopping tasks of lower rank where the least work is lost.
+    def _preempt(self, job: Job, stock: placement.Stock, zones: dict[str, bool]) -> bool:
+        """Makes room for a task by stopping tasks of lower rank where, of a sample, the least work is lost.
 
-        The machine is kept for that rank until the stopped tasks are proven gone."""
+        The machine is kept for that rank until the stopped tasks are proven gone. False: there is
+        nobody to stop, for this job and its like."""
         now, spec, rank = self.runtime.now(), job.spec, wire.RANKS[job.spec.rank]
         key = (job.no, job.next_task())
         entitled = job.no not in self._beyond
-        if (rank > wire.RANKS["high"] and not entitled) or self._preempted.get(key, 0.0) > now:
-            return
+        if rank > wire.RANKS["high"] and not entitled:
+            return False
+        if self._preempted.get(key, 0.0) > now:
+            return True
         best: tuple[float, Machine, list[Placement]] | None = None
-        for machine in machines:
-            kind = self.kinds[machine.kind]
-            if not zones.get(machine.zone, True) or not placement.allowed(spec, kind, machine.zone, machine.spot):
+        found = 0
+        for machine, kind in stock.walk(spec, zones):
+            victims = self._victims(job, machine, kind, entitled, now)
+            if not victims:
                 continue
-            lower = [
-                placed for placed in machine.placements.values()
-                if placed.seen and (
-                    wire.RANKS[placed.job.spec.rank] > rank
-                    # A team's guarantee goes before what another team runs beyond its own; little may be lost.
-                    or (entitled and placed.job.no in self._beyond and placed.job.spec.team != spec.team
-                        and placed.job.spec.kind != wire.SERVICE and self._loss(placed, now) < self._policy.settle)
-                )
-            ]  # fmt: skip
-            lower.sort(key=lambda placed: self._loss(placed, now))
-            left, loss, victims = placement.room(machine, kind), 0.0, list[Placement]()
-            for _, _, claim in self._reserved.get(machine.name, {}).values():
-                # What is being stopped there makes room for another task; it can't make it twice.
-                left = placement.Room(left.cores - claim.cores, left.gpus - claim.gpus, left.ram - claim.ram)
-            for placed in lower:
-                if left.holds(spec):
-                    break
-                out = placed.job.spec
-                left = placement.Room(left.cores + out.cores, left.gpus + out.gpus, left.ram + out.ram)
-                loss += self._loss(placed, now)
-                victims.append(placed)
-            fits = left.holds(spec) and placement.leaves_gpus_usable(spec, left, kind, self._needs)
-            if victims and fits and (best is None or loss < best[0]):
+            loss = sum(self._loss(placed, now) for placed in victims)
+            if best is None or loss < best[0]:
                 best = loss, machine, victims
+            found += 1
+            if found >= self._policy.sample:
+                break
         if best is None:
-            return
+            return False
         loss, machine, victims = best
         until = now + 2 * self._policy.order_call + max(placed.job.spec.save for placed in victims)
         self._preempted[key] = until
@@ -694,6 +698,37 @@
         for placed in victims:
             if placed.stopping_at is None:
                 self._stop(placed, placed.job.spec.save)
+        return True
+
+    def _victims(
+        self, job: Job, machine: Machine, kind: wire.MachineType, entitled: bool, now: float
+    ) -> list[Placement]:  # fmt: skip
+        """The tasks whose stop makes room for one of the job, those that lose least first; none: it can't."""
+        spec, rank = job.spec, wire.RANKS[job.spec.rank]
+        lower = [
+            placed for placed in machine.placements.values()
+            if placed.seen and (
+                wire.RANKS[placed.job.spec.rank] > rank
+                # A team's guarantee goes before what another team runs beyond its own; little may be lost.
+                or (entitled and placed.job.no in self._beyond and placed.job.spec.team != spec.team
+                    and placed.job.spec.kind != wire.SERVICE and self._loss(placed, now) < self._policy.settle)
+            )
+        ]  # fmt: skip
+        if not lower:
+            return []
+        lower.sort(key=lambda placed: self._loss(placed, now))
+        left, victims = placement.room(machine, kind), list[Placement]()
+        for _, _, claim in self._reserved.get(machine.name, {}).values():
+            # What is being stopped there makes room for another task; it can't make it twice.
+            left = placement.Room(left.cores - claim.cores, left.gpus - claim.gpus, left.ram - claim.ram)
+        for placed in lower:
+            if left.holds(spec):
+                break
+            out = placed.job.spec
+            left = placement.Room(left.cores + out.cores, left.gpus + out.gpus, left.ram + out.ram)
+            victims.append(placed)
+        fits = left.holds(spec) and placement.leaves_gpus_usable(spec, left, kind, self._needs)
+        return victims if fits else []
 
     @staticmethod
     def _loss(placed: Placement, now: float) -> float:
@@ -702,21 +737,18 @@
             return 0.0
         return placed.job.spec.save if placed.job.spec.checkpoint else now - placed.ran_at
 
-    def _place_gang(self, job: Job, machines: list[Machine]) -> None:
+    def _place_gang(self, job: Job, stock: placement.Stock) -> None:
         """A gang starts only when all its tasks have room at once; a lost one is replaced singly."""
         spec, count = job.spec, job.waiting
         if not self._within_limit(spec, count):
             return
-        for zones in [{zone} for zone in sorted(self._all_zones())] if spec.one_zone else [self._all_zones()]:
+        for zones in [{zone} for zone in sorted(self._zones)] if spec.one_zone else [self._zones]:
             chosen: list[Machine] = []
-            there = [machine for machine in machines if machine.zone in zones]
             for _ in range(count):
                 counts = [machine.zone for machine in chosen]
                 most = spec.zone_share if spec.spread else count
-                shut = {zone: False for zone in zones if counts.count(zone) >= most}
-                machine = placement.choose(
-                    spec, job.no, there, self.kinds, self._needs, self._policy.sample, self._rng, shut
-                )  # fmt: skip
+                opens = {zone: zone in zones and counts.count(zone) < most for zone in self._zones}
+                machine = placement.choose(spec, job.no, stock, self._needs, self._policy.sample, opens)
                 if machine is None:
                     break
                 machine.claim(spec, 1)
@@ -746,14 +778,11 @@
         spec = job.spec
         if spec.one_zone and job.placed:
             taken = {placed.zone for placed in job.placed.values()}
-            return {zone: zone in taken and len(taken) == 1 for zone in self._all_zones()}
+            return {zone: zone in taken and len(taken) == 1 for zone in self._zones}
         if spec.spread:
-            return {zone: False for zone in self._all_zones() if job.zone_count(zone) >= spec.zone_share}
+            return {zone: False for zone in self._zones if job.zone_count(zone) >= spec.zone_share}
         return {}
 
-    def _all_zones(self) -> set[str]:
-        return {*self._settings.zones, *(machine.zone for machine in self.machines.values())}
-
     def _place(self, job: Job, machine: Machine) -> None:
         task = job.next_task()
         attempt = job.attempts.get(task, 0) + 1
@@ -778,6 +807,7 @@
         machine = self.machines.get(name)
         if machine is None:
             machine = self.machines[name] = Machine(name, kind, zone, spot, self.runtime.now())
+            self._zones.add(zone)
             for placed in self.book.on_machine.get(name, {}).values():
                 machine.use(placed)
         return machine
@@ -983,11 +1013,11 @@
 
     def _zones_without(self, job: Job, placed: Placement) -> dict[str, bool]:
         if job.spec.one_zone:
-            return {zone: zone == placed.zone for zone in self._all_zones()}
+            return {zone: zone == placed.zone for zone in self._zones}
         if not job.spec.spread:
             return {}
         return {
-            zone: job.zone_count(zone) - (zone == placed.zone) < job.spec.zone_share for zone in self._all_zones()
+            zone: job.zone_count(zone) - (zone == placed.zone) < job.spec.zone_share for zone in self._zones
         }  # fmt: skip
 
     def _move_on(self, now: float) -> None:
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from . import wire
 from .fleet import Machine
 from .forecast import Shape
 
 SLACK = 1e-6
+WIDEN = 4
 
 
-@dataclass(frozen=True)
-class Room:
+class Room(NamedTuple):
     """What a machine has left."""
 
     cores: float
@@ -96,24 +97,82 @@
     return 5
 
 
+class Stock:
+    """The machines that one pass of the scheduler may use, in a random order, each with its pool.
+
+    What a pool may not take (types, zones, spot) is decided once a shape, not once a machine; a search
+    begins at a random place and ends as soon as it has a sample. `looked` counts the machines looked at.
+    """
+
+    def __init__(self, machines: Iterable[Machine], kinds: dict[str, wire.MachineType], rng: random.Random) -> None:
+        self.kinds, self._rng, self.looked = kinds, rng, 0
+        numbers: dict[tuple[str, str, bool], int] = {}
+        self._entries = [
+            (numbers.setdefault((machine.kind, machine.zone, machine.spot), len(numbers)), kinds[machine.kind], machine)
+            for machine in machines
+        ]  # fmt: skip
+        rng.shuffle(self._entries)
+        self._pools = list(numbers)
+        self._allowed: dict[Shape, list[bool]] = {}
+
+    def _open(self, spec: wire.Spec, zone_open: dict[str, bool]) -> list[bool]:
+        """By pool: whether the job may use it now."""
+        shape = Shape.of(spec)
+        allows = self._allowed.get(shape)
+        if allows is None:
+            allows = self._allowed[shape] = [
+                allowed(spec, self.kinds[kind], zone, spot) for kind, zone, spot in self._pools
+            ]  # fmt: skip
+        if not zone_open:
+            return allows
+        return [
+            allow and zone_open.get(zone, True) for allow, (_, zone, _) in zip(allows, self._pools, strict=True)
+        ]  # fmt: skip
+
+    def walk(self, spec: wire.Spec, zone_open: dict[str, bool]) -> Iterator[tuple[Machine, wire.MachineType]]:
+        """The machines that the job may use, whatever room they have, from a random one on."""
+        opens = self._open(spec, zone_open)
+        if not any(opens):
+            return
+        start = self._rng.randrange(len(self._entries))
+        for entries in (self._entries[start:], self._entries[:start]):
+            for number, kind, machine in entries:
+                if opens[number]:
+                    self.looked += 1
+                    yield machine, kind
+
+    def fitting(
+        self, spec: wire.Spec, zone_open: dict[str, bool], needs: GpuNeeds, most: int,
+        keep: Callable[[Machine], bool] | None = None,
+    ) -> list[Machine]:  # fmt: skip
+        """At most so many machines, drawn at random, that can hold one more task of the job.
+
+        Who has found some ends after `WIDEN` times as many looks; who has found none looks at all."""
+        found: list[Machine] = []
+        enough = self.looked + WIDEN * most
+        cores, gpus, ram = spec.cores - SLACK, spec.gpus - SLACK, spec.ram - SLACK
+        for machine, kind in self.walk(spec, zone_open):
+            if (
+                machine.cores + cores <= kind.cores
+                and machine.gpus + gpus <= kind.gpus
+                and machine.ram + ram <= kind.ram
+                and (spec.gpus or not kind.gpus or leaves_gpus_usable(spec, room(machine, kind), kind, needs))
+                and (keep is None or keep(machine))
+            ):
+                found.append(machine)
+            if found and (len(found) >= most or self.looked >= enough):
+                break
+        return found
+
+
 def choose(
-    spec: wire.Spec, job_no: int, machines: Sequence[Machine], kinds: dict[str, wire.MachineType],
-    needs: GpuNeeds, sample: int, rng: random.Random, zone_open: dict[str, bool],
+    spec: wire.Spec, job_no: int, stock: Stock, needs: GpuNeeds, sample: int, zone_open: dict[str, bool],
+    keep: Callable[[Machine], bool] | None = None,
 ) -> Machine | None:  # fmt: skip
     """The machine for a task, or None. Looks at a sample of those that can hold it."""
-    fitting = [
-        machine
-        for machine in machines
-        if zone_open.get(machine.zone, True)
-        and allowed(spec, kinds[machine.kind], machine.zone, machine.spot)
-        and room(machine, kinds[machine.kind]).holds(spec)
-        and leaves_gpus_usable(spec, room(machine, kinds[machine.kind]), kinds[machine.kind], needs)
-    ]
-    if len(fitting) > sample:
-        fitting = rng.sample(fitting, sample)
     best: tuple[tuple[float, ...], Machine] | None = None
-    for machine in fitting:
-        kind = kinds[machine.kind]
+    for machine in stock.fitting(spec, zone_open, needs, sample, keep):
+        kind = stock.kinds[machine.kind]
         left = room(machine, kind)
         after = max(
             (left.cores - spec.cores) / kind.cores if kind.cores else 0.0,
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -35,6 +35,8 @@
     retry: float
     ask: float
     sample: int
+    pass_rest: float
+    """How many times its own length the scheduler rests after a pass: the rest is for messages."""
 
 
 def default(settings: Settings) -> Policy:
@@ -64,4 +66,5 @@
         retry=report / 3,
         ask=report,
         sample=24,
+        pass_rest=3.0,
     )
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -19,7 +19,7 @@
 from flaxtally.http import BadMessage, Parser
 from flaxtally.ledger.book import Book, BookError
 from flaxtally.peers import Frames, encode
-from flaxtally.placement import GpuNeeds, choose, gpu_needs
+from flaxtally.placement import GpuNeeds, Stock, choose, gpu_needs
 from flaxtally.settings import SettingsError, parse
 
 from .world import TYPES, batch, spec
@@ -272,13 +272,13 @@
     cold, warm, gpu = (Machine(name, kind, "a", False, 0.0) for name, kind in
                        (("n-1", "c16"), ("n-2", "c16"), ("n-3", "g8")))  # fmt: skip
     warm.note_image("img-1", 8.0, 40.0)
-    chosen = choose(gate, 1, [cold, warm], KINDS, NEEDS, 9, random.Random(1), {})
+    chosen = choose(gate, 1, Stock([cold, warm], KINDS, random.Random(1)), NEEDS, 9, {})
     assert chosen is warm
     needs = gpu_needs([work])
     gpu.cores = 8.0  # 24 cores left, which its 8 free GPUs will all need
-    assert choose(gate, 1, [gpu], KINDS, needs, 9, random.Random(1), {}) is None
-    assert choose(work, 2, [gpu], KINDS, needs, 9, random.Random(1), {}) is gpu
-    assert choose(gate, 1, [warm], KINDS, NEEDS, 9, random.Random(1), {"a": False}) is None
+    assert choose(gate, 1, Stock([gpu], KINDS, random.Random(1)), needs, 9, {}) is None
+    assert choose(work, 2, Stock([gpu], KINDS, random.Random(1)), needs, 9, {}) is gpu
+    assert choose(gate, 1, Stock([warm], KINDS, random.Random(1)), NEEDS, 9, {"a": False}) is None
 
 
 def test_hashing_moves_only_the_lost_controllers_machines() -> None:
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,45 @@
+"""A day of hundreds of machines and seven controllers: the rules, and a bound on the work done."""
+
+from __future__ import annotations
+
+from flaxtally import wire
+from flaxtally.settings import Team
+
+from .world import World, batch, spec
+
+NAMES = tuple(f"hearth-{number}" for number in range(7))
+
+
+def test_a_grown_deployment_keeps_the_rules_and_looks_at_few_machines_a_task() -> None:
+    # Found on grown deployments: each waiting task looked at every machine, twice where it found none, in
+    # each pass of the scheduler; a leader with a share of a core fell seconds behind at the start.
+    # The world checks at each start of a task: run once, committed first, in its place, within quota.
+    world = World(nodes=NAMES, capacity=60, team=Team("crew", 0.0, 1e5, 0.0, 2400.0))
+    jobs = 0
+    for number in range(90):
+        jobs += 1
+        world.submit(spec(f"j-{jobs:06d}", tasks=(2, 6, 12)[number % 3]), node=number)
+    for number in range(14):
+        jobs += 1
+        world.submit(spec(f"j-{jobs:06d}", tasks=2, gpus=4.0, cores=14.0, ram=100.0, lane="big"), node=number)
+    for number in range(20):
+        jobs += 1
+        world.submit(batch(f"j-{jobs:06d}", 60), run_time=6.0, node=number)
+    world.run(26)
+    assert len(world.workers) > 200
+    leader = world.leader()
+    assert leader
+    starts = sum(" start " in line for line in world.trace)
+    looked = world.nodes[leader].leader.looked
+    assert starts > 1000
+    assert looked < starts * len(world.workers) / 2, (looked, starts)
+    world.crash(leader, back_after=5.0)
+    world.cancel("j-000001", node=1)
+    world.run(9)
+    assert "j-000001" in world.told_cancelled
+    assert world.ask("j-000002")[1]["stage"] == "running"
+    assert len(world.accepted) == jobs
+    assert all(
+        world.count(ref) == job.tasks for ref, job in world.specs.items()
+        if job.kind == wire.SERVICE and ref != "j-000001"
+    )  # fmt: skip
--- a/tests/world.py
+++ b/tests/world.py
@@ -46,8 +46,11 @@
 class World:
     """Controllers, state service, cloud, workers, users."""
 
-    def __init__(self, seed: int = 1, team: Team | None = None, value_bytes: int = 8192) -> None:
-        self.value_bytes = value_bytes
+    def __init__(
+        self, seed: int = 1, team: Team | None = None, value_bytes: int = 8192, nodes: tuple[str, ...] = NODES,
+        capacity: int = 4,
+    ) -> None:  # fmt: skip
+        self.value_bytes, self.names = value_bytes, nodes
         self.sim = Sim(seed)
         self.rng = random.Random(seed)
         self.team = team or Team("crew", 0.0, 200.0, 0.0, 64.0)
@@ -56,30 +59,36 @@
         self.workers: dict[str, Worker] = {}
         self.trace: list[str] = []
         self.running: dict[str, tuple[str, int]] = {}
+        self._used = [0.0, 0.0]
+        self._pages: dict[str, tuple[int, set[tuple[str, int, str]]]] = {}
+        self._refs: dict[int, str] = {}
         self.told_cancelled: dict[str, float] = {}
         self.accepted: set[str] = set()
         self.nodes: dict[str, Node] = {}
         self.state = StateService(self.sim.host(STATE[0]), STATE)
         self.cloud = Cloud(
             self.sim.host(CLOUD[0]), CLOUD, TYPES,
-            {(kind.name, zone, spot): 4 for kind in TYPES for zone in ZONES for spot in (False, True)},
-            lambda count: f"10.1.0.{count + 1}:9000", self._start_worker, self._end_worker, self.rng,
+            {(kind.name, zone, spot): capacity for kind in TYPES for zone in ZONES for spot in (False, True)},
+            lambda count: f"10.1.{count // 250}.{count % 250 + 1}:9000", self._start_worker, self._end_worker, self.rng,
         )  # fmt: skip
         self.user = self.sim.host(USER)
         self._clients: dict[str, Client] = {}
-        for name in NODES:
+        for name in nodes:
             self.start(name)
 
     # The service
 
     def ip(self, node: str) -> str:
-        return f"10.0.0.{NODES.index(node) + 1}"
+        return f"10.0.0.{self.names.index(node) + 1}"
 
     def start(self, node: str) -> None:
         settings = Settings(
-            node=node, zone=ZONES[NODES.index(node) % 2], listen=(self.ip(node), 8080),
+            node=node, zone=ZONES[self.names.index(node) % 2], listen=(self.ip(node), 8080),
             peer_listen=(self.ip(node), 8081),
-            peers={other: (ZONES[NODES.index(other) % 2], (self.ip(other), 8081)) for other in NODES if other != node},
+            peers={
+                other: (ZONES[number % 2], (self.ip(other), 8081))
+                for number, other in enumerate(self.names) if other != node
+            },
             cloud=CLOUD, state=STATE, zones=ZONES, teams={"crew": self.team}, objectives=(),
             report_s=1.5, lease_s=10.0, cancel_s=CANCEL_S, state_rps=250.0, state_write_rps=40.0,
             value_bytes=self.value_bytes, txn_ops=32, cloud_rps=3.0, list_lag_s=1.0, max_sockets=500,
@@ -109,7 +118,7 @@
         assert machine.address is not None
         ip, _, port = machine.address.partition(":")
         self.workers[machine.machine] = Worker(
-            self.sim.host(ip), machine, kind, (ip, int(port)), {name: (self.ip(name), 8080) for name in NODES},
+            self.sim.host(ip), machine, kind, (ip, int(port)), {name: (self.ip(name), 8080) for name in self.names},
             1.5, 10.0, self.specs.get, self.run_times.get, self._watch, self.rng,
         )  # fmt: skip
 
@@ -133,31 +142,41 @@
         if event != "start":
             if self.running.get(task) == (machine, attempt):
                 del self.running[task]
+                self._count_use(job, -1)
             return
         # The rules, at the moment at which they could be broken.
         assert task not in self.running, f"ran_twice: {task} on {self.running.get(task)} and {machine}"
         # Its user may hear of it a little later, but it and the placement must be committed.
-        assert [task, attempt, machine] in self.committed(), f"started before its record was committed: {task}"
+        assert self._is_committed(task, attempt, machine), f"started before its record was committed: {task}"
         if ref in self.told_cancelled:
             assert self.sim.time <= self.told_cancelled[ref] + CANCEL_S, f"ran_cancelled: {task}"
         self.running[task] = (machine, attempt)
+        self._count_use(job, 1)
         there = self.workers[machine].machine
         assert job.spot or not there.spot, f"wrong_place: {task} on spot"
-        zones = [self.workers[name].machine.zone for other, (name, _) in self.running.items()
-                 if other.startswith(ref + "/")]  # fmt: skip
         if job.spread:
+            others = [self.running.get(f"{ref}/{number}") for number in range(job.tasks)]
+            zones = [self.workers[other[0]].machine.zone for other in others if other is not None]
             assert zones.count(there.zone) <= (job.tasks + 1) // 2, f"wrong_place: {task} not spread"
-        used = sum(self.specs[other.partition("/")[0]].cores for other in self.running)
-        gpus = sum(self.specs[other.partition("/")[0]].gpus for other in self.running)
-        assert used <= self.team.cores_max, "quota"
-        assert gpus <= self.team.gpus_max, "quota"
-
-    def committed(self) -> list[list[Any]]:
-        """[task, attempt, machine] of every placement in the state service's pages."""
-        pages = [row[0]["r"] for key, row in sorted(self.state.rows.items()) if key.startswith("p/")]
-        records = [record for page in pages for record in page]
-        refs = {record[1]: record[3] for record in records if record[0] == "J"}
-        return [[f"{refs.get(record[1])}/{record[2]}", *record[3:5]] for record in records if record[0] == "P"]
+        assert self._used[0] <= self.team.cores_max, "quota"
+        assert self._used[1] <= self.team.gpus_max, "quota"
+
+    def _count_use(self, job: wire.Spec, count: int) -> None:
+        self._used[0] += job.cores * count
+        self._used[1] += job.gpus * count
+
+    def _is_committed(self, task: str, attempt: int, machine: str) -> bool:
+        """Whether the state service's pages hold the placement. Pages are read when they changed."""
+        held = False
+        for key, (value, stamp, _) in sorted(self.state.rows.items()):
+            if not key.startswith("p/"):
+                continue
+            if self._pages.get(key, (0, None))[0] != stamp:
+                self._refs.update({record[1]: record[3] for record in value["r"] if record[0] == "J"})
+                placed = {(f"{self._refs.get(r[1])}/{r[2]}", r[3], r[4]) for r in value["r"] if r[0] == "P"}
+                self._pages[key] = stamp, placed
+            held = held or (task, attempt, machine) in self._pages[key][1]
+        return held
 
     # Users
 
@@ -174,7 +193,7 @@
         self.specs[job.ref] = job
         if run_time is not None:
             self.run_times[job.ref] = run_time
-        name = NODES[node % 3]
+        name = self.names[node % len(self.names)]
 
         def done(status: int, _: Any) -> None:
             if status in (200, 201):
@@ -197,7 +216,7 @@
             else:
                 self.sim.at(self.sim.time + 1.0, self.cancel, ref, node + 1)
 
-        self.call(NODES[node % 3], "POST", f"{wire.WORK}/{ref}/cancel", None, done)
+        self.call(self.names[node % len(self.names)], "POST", f"{wire.WORK}/{ref}/cancel", None, done)
 
     def _check_cancelled(self, ref: str) -> None:
         left = [task for task in self.running if task.startswith(ref + "/")]
@@ -211,7 +230,8 @@
         turn = 0
         while self.sim.time < end:
             answers.clear()
-            self.call(NODES[turn % 3], "GET", f"{wire.WORK}/{ref}", None, lambda s, b: answers.append((s, b)))
+            name = self.names[turn % len(self.names)]
+            self.call(name, "GET", f"{wire.WORK}/{ref}", None, lambda s, b: answers.append((s, b)))
             self.until(lambda: bool(answers), 6)
             if answers and answers[0][0] in (200, 404):
                 return answers[0]
