The leader is split into duties, wired anew for each term; no behaviour changes

Now lead/ holds jobs, proofs about machines (tracker), orders, scheduling, planning and emptying, each an actor that owns its state; a Term object lives as long as the term, so late answers of an older one end at its 'active'.

--- a/flaxtally/dispatch.py
+++ b/flaxtally/dispatch.py
@@ -14,7 +14,7 @@
 from .actor import Actor
 from .election import Election
 from .http import Request
-from .leader import Carrier
+from .lead.orders import Carrier
 from .loop import Runtime, Timer
 from .peers import Frame, Peers
 from .policy import Policy
--- /dev/null
+++ b/flaxtally/lead/jobs.py
@@ -0,0 +1,227 @@
+"""Users' jobs: acceptance, states, cancellations, and the order in which they wait."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from .. import placement, wire
+from ..forecast import Arrivals, Shape
+from ..ledger.book import Job, Placement
+from .orders import Orders
+from .term import Duty, Term
+
+log = logging.getLogger(__name__)
+
+Answer = Callable[[int, Any], None]
+MOST_BACKLOG = 2000
+
+
+class Jobs(Duty):
+    """Owns the jobs that are not over, and what is asked for by shape."""
+
+    def __init__(self, term: Term, orders: Orders) -> None:
+        super().__init__(term)
+        self.orders = orders
+        self.live: dict[int, Job] = {}
+        self.arrivals = Arrivals(self.policy.plan_horizon, self.policy.plan_step * 2)
+        self.specs: dict[Shape, wire.Spec] = {}
+        self.needs = placement.GpuNeeds()
+        self.beyond: set[int] = set()
+        """Jobs that reach beyond their team's guarantee, as of the last queue."""
+        self.backoff: dict[int, float] = {}
+        self._finish_within: dict[str, list[float]] = {}
+        for aim in self.settings.objectives:
+            if aim.kind == "finished" and aim.lane is not None and aim.within:
+                self._finish_within.setdefault(aim.lane, []).append(aim.within)
+
+    def recall(self) -> None:
+        """Takes up what the ledger holds."""
+        now = self.runtime.now()
+        for job in self.ledger.book.jobs.values():
+            if not job.final or job.placed:
+                self.live[job.no] = job
+                self.note_spec(job.spec)
+            if job.cancelled:
+                job.cancelled_at = now
+
+    def submit(self, spec: wire.Spec, answer: Answer) -> None:
+        """Accepts, or says why not; each answer follows a commit or a confirmed leadership."""
+        ref = spec.ref
+        if ref in self.ledger.book.finals or ref in self.ledger.book.by_ref:
+            self._status(ref, answer)
+            return
+        if not self.term.kinds or self.ledger.backlog > MOST_BACKLOG:
+            answer(503, None)
+            return
+        refusal = self._refusal(spec)
+        if refusal:
+            self._confirmed(answer, lambda: answer(422, {"error": refusal}))
+            return
+        now = self.runtime.now()
+        no = self.ledger.book.next_no
+        record = ["J", no, round(self.runtime.wall(), 1), *msgspec.to_builtins(spec)]
+
+        def committed() -> None:
+            job.committed = True
+            answer(201, wire.job_status(ref, wire.PENDING))
+
+        self.ledger.propose(record, committed)
+        job = self.ledger.book.jobs[no]
+        job.known_at = now
+        self.live[no] = job
+        self.note_spec(spec)
+        self.arrivals.note(spec.lane, spec.tasks, now)
+        self.term.kick()
+
+    def _refusal(self, spec: wire.Spec) -> str | None:
+        team = self.settings.teams.get(spec.team)
+        if team is None:
+            return "unknown team"
+        if not any(
+            placement.allowed(spec, kind, zone, False) for kind in self.term.kinds.values() for zone in kind.zones
+        ):
+            return "no allowed machine type holds a task"
+        count = 1 if spec.kind == wire.ARRAY else spec.tasks
+        over = (team.cores_max and spec.cores * count > team.cores_max + placement.SLACK) or (
+            team.gpus_max and spec.gpus * count > team.gpus_max + placement.SLACK
+        )
+        return "more than the team's limit" if over else None
+
+    def poll(self, ref: str, answer: Answer) -> None:
+        self._status(ref, answer)
+
+    def _status(self, ref: str, answer: Answer) -> None:
+        job = self.ledger.book.by_ref.get(ref)
+        if job is None and ref in self.ledger.book.finals:
+            answer(200, wire.job_status(ref, self.ledger.book.finals[ref]))
+        elif job is not None and job.told:
+            answer(200, self._state(job))
+        else:
+            self._confirmed(answer, lambda: self._tell_state(ref, answer))
+
+    def _tell_state(self, ref: str, answer: Answer) -> None:
+        job = self.ledger.book.by_ref.get(ref)
+        if job is None:
+            stage = self.ledger.book.finals.get(ref)
+            answer(200 if stage else 404, wire.job_status(ref, stage) if stage else None)
+        elif not job.committed:
+            # Its acceptance is under way: neither known nor unknown until the commit ends.
+            answer(503, None)
+        else:
+            answer(200, self._state(job))
+
+    @staticmethod
+    def _state(job: Job) -> dict[str, Any]:
+        running = sum(placed.state == wire.RUNNING for placed in job.placed.values())
+        stage = job.told or (wire.RUNNING if running else wire.PENDING)
+        done = len(job.done_tasks)
+        if stage in (wire.PENDING, wire.RUNNING):
+            done = min(done, job.spec.tasks - 1) if job.spec.kind != wire.SERVICE else done
+        return wire.job_status(job.spec.ref, stage, done, running)
+
+    def _confirmed(self, answer: Answer, then: Callable[[], None]) -> None:
+        def told(leading: bool) -> None:
+            if leading and self.term.active:
+                then()
+            else:
+                answer(503, None)
+
+        self.ledger.confirm(told)
+
+    def cancel(self, ref: str, answer: Answer) -> None:
+        job = self.ledger.book.by_ref.get(ref)
+        if job is None or job.told or not job.committed:
+            self._status(ref, answer)
+            return
+        if job.done or job.cancelled:
+            # Its end is being committed.
+            answer(503, None)
+            return
+        if any(self._out_of_reach(placed) for placed in job.placed.values()):
+            # A promise that we might not keep: the machine is silent and the cloud can't take it back.
+            answer(503, None)
+            return
+
+        def committed() -> None:
+            job.told = wire.ABORTED
+            answer(200, wire.job_status(ref, wire.ABORTED))
+            self._stop_cancelled(job)
+
+        self.ledger.propose(["C", job.no], committed)
+        job.cancelled_at = self.runtime.now()
+        if not job.placed:
+            self.live.pop(job.no, None)
+        log.info("event=cancel term=%d job=%s placed=%d", self.term.number, ref, len(job.placed))
+
+    def _out_of_reach(self, placed: Placement) -> bool:
+        machine = self.fleet.machines.get(placed.machine)
+        now = self.runtime.now()
+        return (
+            machine is not None
+            and now - machine.heard_at > self.policy.machine_silence
+            and now - self.cloud.troubled_at < self.policy.settle
+            and self.cloud.troubled_at > self.cloud.contact
+        )
+
+    def _stop_cancelled(self, job: Job) -> None:
+        for placed in list(job.placed.values()):
+            if placed.committed:
+                self.orders.stop(placed, 0.0)
+
+    def note_spec(self, spec: wire.Spec) -> None:
+        self.specs[Shape.of(spec)] = spec
+        if spec.gpus:
+            self.needs = placement.gpu_needs(self.specs.values())
+
+    def queue(self) -> list[Job]:
+        """Jobs with waiting tasks: by rank, those within their team's guarantee first, then those that
+        can still be in time, the most pressing of them first, then by age."""
+        used: dict[str, tuple[float, float]] = {}
+        waiting: list[tuple[tuple[int, bool, int, float, int], Job]] = []
+        wall = self.runtime.wall()
+        self.beyond = set()
+        for job in self.live.values():
+            if job.final:
+                continue
+            spec = job.spec
+            cores, gpus = used.get(spec.team, (0.0, 0.0))
+            left = spec.tasks - len(job.done_tasks)
+            cores, gpus = cores + spec.cores * left, gpus + spec.gpus * left
+            used[spec.team] = cores, gpus
+            team = self.settings.teams.get(spec.team)
+            beyond = team is None or (bool(team.cores) and cores > team.cores) or (
+                bool(team.gpus) and gpus > team.gpus)  # fmt: skip
+            if beyond:
+                self.beyond.add(job.no)
+            if job.waiting:
+                waiting.append(((wire.RANKS[spec.rank], beyond, *self._urgency(job, wall), job.no), job))
+        waiting.sort(key=lambda entry: entry[0])
+        return [job for _, job in waiting]
+
+    def _urgency(self, job: Job, wall: float) -> tuple[int, float]:
+        """How many of the job's due times are past saving, and when it must start for the next one."""
+        spec = job.spec
+        dues = list(self._finish_within.get(spec.lane, ()))
+        if spec.deadline is not None:
+            dues.append(spec.deadline)
+        lost = 0
+        for due in sorted(dues):
+            latest = job.at + due - spec.estimate
+            if wall <= latest:
+                return lost, latest
+            lost += 1
+        return lost, 0.0
+
+    def within_limit(self, spec: wire.Spec, count: int = 1) -> bool:
+        team, usage = self.settings.teams.get(spec.team), self.ledger.book.usage.get(spec.team)
+        if team is None:
+            return False
+        cores, gpus = (usage.cores, usage.gpus) if usage else (0.0, 0.0)
+        return not (
+            (team.cores_max and cores + spec.cores * count > team.cores_max + placement.SLACK)
+            or (team.gpus_max and gpus + spec.gpus * count > team.gpus_max + placement.SLACK)
+        )
--- /dev/null
+++ b/flaxtally/lead/orders.py
@@ -0,0 +1,120 @@
+"""Orders to machines and their answers."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from .. import wire
+from ..fleet import Machine
+from ..ledger.book import Placement
+from .term import Duty, Term
+
+log = logging.getLogger(__name__)
+
+MOST_ORDERS = 200
+
+
+class Carrier:
+    """How the leader's orders and questions reach machines; the dispatch actor implements it."""
+
+    def carry(
+        self, server: str | None, machine: str, address: str, body: dict[str, Any] | None,
+        done: Callable[[int, bytes], None],
+    ) -> None:  # fmt: skip
+        """Orders (or, with no body, a status question); `done(0, b"")` when no answer came."""
+        raise NotImplementedError
+
+    def known_machines(self) -> list[wire.Report]:
+        """The last reports that this node took itself, for a leader that has just begun."""
+        raise NotImplementedError
+
+
+class Orders(Duty):
+    """Owns what waits to be sent, and which launches may still arrive. Answers go to `deliver`."""
+
+    def __init__(self, term: Term, carrier: Carrier) -> None:
+        super().__init__(term)
+        self.carrier = carrier
+        self.deliver: Callable[[str, wire.Report], None] = lambda *_: None
+        self._outbox: dict[str, list[tuple[dict[str, Any], Placement | None]]] = {}
+
+    def order(self, machine: Machine, order: dict[str, Any], launched: Placement | None) -> None:
+        if not self._outbox:
+            self.runtime.soon(self._send)
+        self._outbox.setdefault(machine.name, []).append((order, launched))
+
+    def launch(self, placed: Placement) -> None:
+        machine = self.fleet.machines.get(placed.machine)
+        if machine is None:
+            return
+        placed.sent_at = self.runtime.now()
+        self.order(machine, wire.launch(placed.name, placed.attempt), placed)
+
+    def stop(self, placed: Placement, grace: float) -> None:
+        machine = self.fleet.machines.get(placed.machine)
+        if machine is None:
+            return
+        now = self.runtime.now()
+        placed.sent_at = now
+        if placed.stopping_at is None:
+            placed.stopping_at = now
+        self.order(machine, wire.stop(placed.name, placed.attempt, grace), None)
+
+    def _send(self) -> None:
+        outbox, self._outbox = self._outbox, {}
+        for name, entries in outbox.items():
+            machine = self.fleet.machines.get(name)
+            if machine is None:
+                continue
+            # A placement may have been proven over while its launch waited here.
+            entries = [
+                (order, placed)
+                for order, placed in entries
+                if placed is None or placed.job.placed.get(placed.task) is placed
+            ]
+            for start in range(0, len(entries), 200):
+                part = entries[start : start + 200]
+                self._carry(machine, [order for order, _ in part], [placed for _, placed in part if placed])
+
+    def _carry(self, machine: Machine, orders: list[dict[str, Any]], launched: list[Placement]) -> None:
+        server = machine.server
+        for placed in launched:
+            # Set as the order leaves: this session is the last in which a copy of it can be executed.
+            placed.launch_session = max(placed.launch_session, machine.session)
+            placed.open += 1
+
+        def told(status: int, body: bytes) -> None:
+            if status in (200, 409):
+                for placed in launched:
+                    placed.open -= 1
+                machine.orders_failed = 0
+                self.answered(server, body)
+            else:
+                machine.orders_failed += 1
+
+        self.carrier.carry(
+            server, machine.name, machine.address, wire.orders_body(self.term.number, machine.session, orders), told
+        )  # fmt: skip
+
+    def answered(self, server: str | None, body: bytes) -> None:
+        if not self.term.active:
+            return
+        try:
+            report = msgspec.msgpack.decode(body, type=wire.Report)
+        except msgspec.DecodeError as fault:
+            log.warning("a worker's answer: %s", fault)
+            return
+        if report.token > self.term.number:
+            log.info("event=higher_token term=%d token=%d machine=%s", self.term.number, report.token, report.machine)
+            return
+        self.deliver(server or "", report)
+
+    def push_token(self, machine: Machine) -> None:
+        """An empty order: it raises the worker's token, and its answer is the baseline."""
+        if machine.address:
+            machine.session = max(machine.session, 1)
+            self._carry(machine, [], [])
--- /dev/null
+++ b/flaxtally/lead/planner.py
@@ -0,0 +1,303 @@
+"""What to rent and what to give back."""
+
+from __future__ import annotations
+
+import logging
+import math
+from dataclasses import replace
+
+import msgspec
+
+from .. import fill, placement, wire
+from ..cloud import MOST_RENTED
+from ..fill import Bin, Demand, Pool
+from ..fleet import Machine
+from ..forecast import Shape
+from .jobs import Jobs
+from .term import Duty, Term
+from .tracker import Tracker
+
+log = logging.getLogger(__name__)
+
+
+def _fixed(kind: wire.MachineType) -> wire.MachineType:
+    """The type without what moves all the time."""
+    return msgspec.structs.replace(kind, spot_price=0.0)
+
+
+class Planner(Duty):
+    """Owns the plan of the fleet and the rental requests under way."""
+
+    def __init__(self, term: Term, jobs: Jobs, tracker: Tracker) -> None:
+        super().__init__(term)
+        self.jobs, self.tracker = jobs, tracker
+        # Lanes whose wait aim no new machine can meet: room for their next job must be there before it.
+        self._reserve = {
+            aim.lane for aim in self.settings.objectives
+            if aim.kind == "wait" and aim.lane is not None and aim.within < self.settings.lease_s
+        }  # fmt: skip
+        self._hires = 0
+        self._turns = 0
+        self._pending_hires: dict[str, tuple[Pool, int, float]] = {}
+        self._resting: dict[Pool, float] = {}
+        self._refusals: dict[Pool, int] = {}
+        self._replanning = False
+        self._running: dict[str, int] = {}
+
+    def learn_kinds(self) -> None:
+        """Asks for the catalogue again and again: spot prices move."""
+
+        def told(kinds: list[wire.MachineType] | None) -> None:
+            if not self.term.active:
+                return
+            self.later(self.policy.plan_lead if kinds else self.policy.retry * 2, self.learn_kinds)
+            if kinds is None:
+                return
+            self.term.kinds = {kind.name: kind for kind in kinds}
+            known = msgspec.convert(self.ledger.book.catalog, list[wire.MachineType])
+            if [_fixed(kind) for kind in known] != [_fixed(kind) for kind in kinds]:
+                self.ledger.propose(["K", msgspec.to_builtins(kinds)])
+            self.term.kick()
+
+        self.cloud.catalog(told)
+
+    def plan(self) -> bool:
+        """Rents and gives back; False while that has to wait."""
+        if not self.term.kinds:
+            return False
+        now, policy = self.runtime.now(), self.policy
+        if now - self.term.began < policy.settle / 4 and self.ledger.book.jobs and self.fleet.machines:
+            return False
+        self.ledger.clean()
+        self._turns += 1
+        if self._turns % 10 == 0:
+            self._log_fleet(now)
+        self._retry_hires(now)
+        self._resting = {pool: until for pool, until in self._resting.items() if until > now}
+        demands = self.demands(now)
+        steps = []
+        for at in self._steps():
+            steps.append((at, [self._at(demand, at, now) for demand in demands], self._rooms(now, at)))
+        pools = [
+            Pool(kind.name, zone, spot)
+            for kind in self.term.kinds.values() for zone in kind.zones for spot in (False, True)
+            if Pool(kind.name, zone, spot) not in self._resting
+        ]  # fmt: skip
+        rents = fill.plan(steps, self.term.kinds, pools, self.jobs.needs, 1.1, 40)
+        wanted: dict[Pool, list[fill.Rent]] = {}
+        for rent in rents:
+            wanted.setdefault(rent.pool, []).append(rent)
+        for pool, group in list(wanted.items())[: max(1, int(self.settings.cloud_rps * policy.plan_step))]:
+            self._rent(pool, min(len(group), MOST_RENTED), group[0])
+        self._give_back(now, demands)
+        return True
+
+    def _log_fleet(self, now: float) -> None:
+        """One line a while: how much of what is paid for is used, by type and kind."""
+        groups: dict[str, list[float]] = {}
+        for machine in self.fleet.machines.values():
+            kind = self.term.kinds.get(machine.kind)
+            if kind is None:
+                continue
+            group = groups.setdefault(f"{kind.name}{'*' if machine.spot else ''}", [0, 0, 0, 0.0, 0.0])
+            group[0] += 1
+            group[1] += machine.booting
+            group[2] += not machine.booting and not machine.placements
+            group[3] += machine.gpus / kind.gpus if kind.gpus else machine.cores / kind.cores
+            group[4] += any(placed.job.spec.kind == wire.SERVICE for placed in machine.placements.values())
+        text = " ".join(
+            f"{name}={int(n)}(boot:{int(boot)},idle:{int(idle)},used:{used:.1f},pinned:{int(pinned)})"
+            for name, (n, boot, idle, used, pinned) in sorted(groups.items())
+        )  # fmt: skip
+        waiting: dict[str, int] = {}
+        for job in self.jobs.live.values():
+            if job.waiting:
+                waiting[job.spec.lane] = waiting.get(job.spec.lane, 0) + job.waiting
+        log.info("event=fleet term=%d %s waiting=%s", self.term.number, text, waiting)
+
+    def demands(self, now: float) -> list[Demand]:
+        """Waiting tasks by shape, in the order in which they would be placed."""
+        counts: dict[Shape, Demand] = {}
+        self._running = {}
+        for job in self.jobs.live.values():
+            lane = job.spec.lane
+            self._running[lane] = self._running.get(lane, 0) + len(job.placed)
+        headroom: dict[str, tuple[float, float]] = {}
+        for job in self.jobs.queue():
+            spec = job.spec
+            team = self.settings.teams.get(spec.team)
+            if team is None:
+                continue
+            if spec.team not in headroom:
+                usage = self.ledger.book.usage.get(spec.team)
+                cores, gpus = (usage.cores, usage.gpus) if usage else (0.0, 0.0)
+                headroom[spec.team] = (
+                    team.cores_max - cores if team.cores_max else 1e9, team.gpus_max - gpus if team.gpus_max else 1e9,
+                )  # fmt: skip
+            cores, gpus = headroom[spec.team]
+            count = job.waiting
+            if spec.cores:
+                count = min(count, int(cores / spec.cores + placement.SLACK))
+            if spec.gpus:
+                count = min(count, int(gpus / spec.gpus + placement.SLACK))
+            count = max(0, count)
+            headroom[spec.team] = cores - count * spec.cores, gpus - count * spec.gpus
+            shape = Shape.of(spec)
+            demand = counts.get(shape)
+            if demand is None:
+                demand = counts[shape] = Demand(shape, 0.0, self._run_length(spec))
+            demand.count += count
+            if spec.spread:
+                caps = demand.caps = demand.caps or {}
+                for zone in self.settings.zones:
+                    caps[zone] = caps.get(zone, 0) + max(0, spec.zone_share - job.zone_count(zone))
+        for shape, spec in self.jobs.specs.items():
+            if shape not in counts and self._typical(shape) and (
+                self.jobs.arrivals.rate(shape.lane, now) > 0 or shape.lane in self._reserve
+            ):  # fmt: skip
+                counts[shape] = Demand(shape, 0.0, self._run_length(spec))
+                if spec.spread:
+                    counts[shape].caps = dict.fromkeys(self.settings.zones, 0)
+        for demand in counts.values():
+            for machine in self.fleet.machines.values():
+                if machine.kind in self.term.kinds and placement.allowed(
+                    demand.shape, self.term.kinds[machine.kind], machine.zone, machine.spot
+                ):
+                    demand.zones[machine.zone] = demand.zones.get(machine.zone, 0) + 1
+        return sorted(counts.values(), key=lambda demand: (demand.shape.rank, -demand.shape.gpus))
+
+    def _typical(self, shape: Shape) -> bool:
+        """One shape stands for its lane in the forecast of arrivals: the one last seen."""
+        last = next((other for other in reversed(self.jobs.specs) if other.lane == shape.lane), None)
+        return last == shape
+
+    def _run_length(self, spec: wire.Spec) -> float:
+        return spec.estimate if spec.kind == wire.ARRAY and spec.estimate else self.policy.plan_horizon
+
+    def _at(self, demand: Demand, at: float, now: float) -> Demand:
+        count = demand.count
+        caps = dict(demand.caps) if demand.caps is not None else None
+        if not demand.shape.service:
+            # By then the machines that run such tasks now will have worked off a part of the queue.
+            count = max(0.0, count - self._running.get(demand.shape.lane, 0) * at / max(demand.until, 1.0))
+        if self._typical(demand.shape):
+            more = self.jobs.arrivals.rate(demand.shape.lane, now) * min(at, demand.until)
+            more += self.jobs.arrivals.largest(demand.shape.lane, now) if demand.shape.lane in self._reserve else 0.0
+            count += more
+            if caps is not None:
+                caps = {zone: cap + math.ceil(more / 2) for zone, cap in caps.items()}
+        return Demand(demand.shape, count, at + demand.until, demand.zones, caps)
+
+    def _rooms(self, now: float, at: float) -> list[Bin]:
+        """The room of machines that serve by then: free now, or freed by tasks estimated to end."""
+        bins: list[Bin] = []
+        for machine in self.fleet.machines.values():
+            kind = self.term.kinds.get(machine.kind)
+            if kind is None or machine.draining or machine.releasing:
+                continue
+            if machine.booting and now - machine.rented_at > 2 * kind.boot:
+                continue
+            if not machine.booting and now - machine.heard_at > self.policy.machine_suspect:
+                continue
+            room = placement.room(machine, kind)
+            space = Bin(kind, machine.zone, machine.spot, room.cores, room.gpus, room.ram, machine.name)
+            if at:
+                for placed in machine.placements.values():
+                    spec = placed.job.spec
+                    if spec.kind == wire.ARRAY and spec.estimate:
+                        began = placed.ran_at if placed.ran_at is not None else now
+                        if began + spec.estimate < now + at:
+                            space.cores += spec.cores
+                            space.gpus += spec.gpus
+                            space.ram += spec.ram
+            bins.append(space)
+        for pool, count, _ in self._pending_hires.values():
+            kind = self.term.kinds[pool.kind]
+            bins += [Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram) for _ in range(count)]
+        return bins
+
+    def _rent(self, pool: Pool, count: int, why: fill.Rent) -> None:
+        self._hires += 1
+        request = f"{self.settings.node}-{self.term.number}-{self._hires}"
+        log.info("event=rent term=%d request=%s type=%s zone=%s spot=%s count=%d lane=%s score=%.3f gap=%.0f-%.0f",
+                 self.term.number, request, pool.kind, pool.zone, pool.spot, count, why.lane, why.score, why.first,
+                 why.last)  # fmt: skip
+        self._pending_hires[request] = (pool, count, self.runtime.now())
+        self._hire(request)
+
+    def _hire(self, request: str) -> None:
+        pool, count, _ = self._pending_hires[request]
+
+        def told(outcome: str, machines: list[str]) -> None:
+            if not self.term.active:
+                return
+            now = self.runtime.now()
+            if outcome == "unknown":
+                return
+            asked = self._pending_hires.pop(request, None)
+            for name in machines:
+                if name not in self.fleet.gone:
+                    machine = self.fleet.adopt(name, pool.kind, pool.zone, pool.spot)
+                    if asked and machine.booting:
+                        machine.rented_at = asked[2]
+            refusals = self._refusals[pool] = 0 if machines else self._refusals.get(pool, 0) + 1
+            if len(machines) < count:
+                # Longer each time in a row; and the gap is planned anew at once, not at the next step.
+                self._resting[pool] = now + self.policy.pool_rest * min(2**refusals, 8) / 2
+                if not self._replanning:
+                    self._replanning = True
+                    self.later(self.policy.retry / 8, self._replan)
+                log.info("event=refused_pool term=%d type=%s zone=%s spot=%s got=%d of=%d", self.term.number, pool.kind,
+                         pool.zone, pool.spot, len(machines), count)  # fmt: skip
+
+        self.cloud.rent(request, pool.kind, pool.zone, pool.spot, count, told)
+
+    def _replan(self) -> None:
+        self._replanning = False
+        if not self._pending_hires:
+            self.plan()
+
+    def _retry_hires(self, now: float) -> None:
+        """A lost reply is asked for again under the same name; after an outage the gap is planned anew."""
+        for request, (_, _, asked) in list(self._pending_hires.items()):
+            if now - asked > self.policy.plan_lead:
+                del self._pending_hires[request]
+            elif now - asked > self.policy.order_call:
+                self._hire(request)
+
+    def _give_back(self, now: float, demands: list[Demand]) -> None:
+        """Returns machines proven empty, idle through the cool-down, that no step's demand needs."""
+        idle = [
+            machine
+            for machine in self.fleet.machines.values()
+            if machine.baseline and not machine.placements and not machine.draining and not machine.releasing
+            and machine.kind in self.term.kinds and now - machine.idle_since > self.policy.cool_down
+        ]  # fmt: skip
+        if not idle:
+            return
+        idle.sort(key=lambda machine: -self.term.kinds[machine.kind].price)
+        for machine in idle:
+            if self.spare(machine, demands, now):
+                self.tracker.release(machine, f"idle for {now - machine.idle_since:.0f}s, no step needs it")
+        self.tracker.flush_releases()
+
+    def _steps(self) -> tuple[float, float]:
+        """The times ahead that the plan looks at."""
+        return self.policy.plan_lead / 2, self.policy.plan_lead
+
+    def spare(self, machine: Machine, demands: list[Demand], now: float) -> bool:
+        """Whether no step's demand needs the machine."""
+        return all(
+            self._enough(at, [self._at(demand, at, now) for demand in demands], now, machine.name)
+            for at in self._steps()
+        )  # fmt: skip
+
+    def _enough(self, at: float, demands: list[Demand], now: float, without: str) -> bool:
+        """Whether the demand that the rooms can hold is held just as well without this machine."""
+        rooms = self._rooms(now, at)
+        fewer = [room for room in self._rooms(now, at) if room.name != without]
+        return all(
+            fill.pack(replace(demand, caps=dict(demand.caps) if demand.caps else None), rooms, self.jobs.needs)
+            == fill.pack(demand, fewer, self.jobs.needs)
+            for demand in demands
+        )  # fmt: skip
--- /dev/null
+++ b/flaxtally/lead/scheduler.py
@@ -0,0 +1,238 @@
+"""Which task goes to which machine, and who makes room for whom."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from .. import placement, wire
+from ..fleet import Machine
+from ..forecast import Shape
+from ..ledger.book import Job, Placement
+from .jobs import MOST_BACKLOG, Jobs
+from .orders import Orders
+from .term import Duty, Term
+from .tracker import Tracker
+
+log = logging.getLogger(__name__)
+
+
+class Scheduler(Duty):
+    """Owns the passes over the queue and the claims on room that preemptions make."""
+
+    def __init__(self, term: Term, jobs: Jobs, tracker: Tracker, orders: Orders) -> None:
+        super().__init__(term)
+        self.jobs, self.tracker, self.orders = jobs, tracker, orders
+        self.looked = 0
+        """Machines that the scheduler looked at, in all."""
+        self._kicked = False
+        self._next_pass = 0.0
+        self._reserved: dict[str, dict[tuple[int, int], tuple[int, float, wire.Spec]]] = {}
+        self._preempted: dict[tuple[int, int], float] = {}
+        term.kick = self.kick
+
+    def kick(self) -> None:
+        if not self._kicked and self.term.active:
+            self._kicked = True
+            self.later(max(0.002, self._next_pass - self.runtime.now()), self._schedule)
+
+    def _schedule(self) -> None:
+        self._kicked = False
+        if not self.term.active or not self.term.kinds:
+            return
+        if self.ledger.backlog > MOST_BACKLOG:
+            self._kick_later()
+            return
+        now = self.runtime.now()
+        stock = placement.Stock(self.tracker.usable(), self.term.kinds, self.rng)
+        self._expire_claims(now)
+        # Within a pass room only shrinks: what found none, its like needn't look for.
+        full: set[tuple[Shape, frozenset[str]]] = set()
+        firm: set[tuple[Shape, frozenset[str], str | None]] = set()
+        for job in self.jobs.queue():
+            if self.jobs.backoff.get(job.no, 0.0) > now:
+                continue
+            spec = job.spec
+            shape = Shape.of(spec)
+            if spec.kind == wire.GANG and not job.placed:
+                self._place_gang(job, stock)
+                continue
+            rank = wire.RANKS[spec.rank]
+            keep = self._unclaimed_by(rank) if self._reserved else None
+            while job.waiting and self.jobs.within_limit(spec):
+                zones = self._zones_open(job)
+                shut = frozenset(zone for zone, is_open in zones.items() if not is_open)
+                chosen = None
+                if (shape, shut) not in full:
+                    chosen = placement.choose(spec, job.no, stock, self.jobs.needs, self.policy.sample, zones, keep)
+                if chosen is not None:
+                    self._place(job, chosen)
+                    continue
+                full.add((shape, shut))
+                # Batch work stops others for one task of a shape at a time. For services, who may be stopped
+                # depends on the team too, while they are within its guarantee.
+                kin = shape, shut, spec.team if spec.spread and job.no not in self.jobs.beyond else None
+                if kin not in firm and not (self._preempt(job, stock, zones) and spec.spread):
+                    firm.add(kin)
+                break
+        self.looked += stock.looked
+        ended = self.runtime.now()
+        self._next_pass = ended + self.policy.pass_rest * (ended - now)
+
+    def _unclaimed_by(self, rank: int) -> Callable[[Machine], bool]:
+        """Whether a machine's room is not claimed by somebody more important."""
+
+        def keep(machine: Machine) -> bool:
+            return all(rank <= claim[0] for claim in self._reserved.get(machine.name, {}).values())
+
+        return keep
+
+    def _expire_claims(self, now: float) -> None:
+        """Drops the claims on room that were made good, or have waited too long."""
+        kept = {}
+        for name, claims in self._reserved.items():
+            live = {
+                key: claim for key, claim in claims.items()
+                if claim[1] > now
+                and (job := self.ledger.book.jobs.get(key[0])) is not None and key[1] not in job.placed
+            }  # fmt: skip
+            if live:
+                kept[name] = live
+        self._reserved = kept
+
+    def _preempt(self, job: Job, stock: placement.Stock, zones: dict[str, bool]) -> bool:
+        """Makes room for a task by stopping tasks of lower rank where, of a sample, the least work is lost.
+
+        The machine is kept for that rank until the stopped tasks are proven gone. False: there is
+        nobody to stop, for this job and its like."""
+        now, spec, rank = self.runtime.now(), job.spec, wire.RANKS[job.spec.rank]
+        key = (job.no, job.next_task())
+        entitled = job.no not in self.jobs.beyond
+        if rank > wire.RANKS["high"] and not entitled:
+            return False
+        if self._preempted.get(key, 0.0) > now:
+            return True
+        best: tuple[float, Machine, list[Placement]] | None = None
+        found = 0
+        for machine, kind in stock.walk(spec, zones):
+            victims = self._victims(job, machine, kind, entitled, now)
+            if not victims:
+                continue
+            loss = sum(self._loss(placed, now) for placed in victims)
+            if best is None or loss < best[0]:
+                best = loss, machine, victims
+            found += 1
+            if found >= self.policy.sample:
+                break
+        if best is None:
+            return False
+        loss, machine, victims = best
+        until = now + 2 * self.policy.order_call + max(placed.job.spec.save for placed in victims)
+        self._preempted[key] = until
+        self._preempted = {key: until for key, until in self._preempted.items() if until > now}
+        self._reserved.setdefault(machine.name, {})[key] = (rank, until, spec)
+        log.info("event=preempt term=%d job=%s machine=%s stopped=%d loss=%.0f", self.term.number, spec.ref,
+                 machine.name, len(victims), loss)  # fmt: skip
+        for placed in victims:
+            if placed.stopping_at is None:
+                self.orders.stop(placed, placed.job.spec.save)
+        return True
+
+    def _victims(
+        self, job: Job, machine: Machine, kind: wire.MachineType, entitled: bool, now: float
+    ) -> list[Placement]:  # fmt: skip
+        """The tasks whose stop makes room for one of the job, those that lose least first; none: it can't."""
+        spec, rank = job.spec, wire.RANKS[job.spec.rank]
+        lower = [
+            placed for placed in machine.placements.values()
+            if placed.seen and (
+                wire.RANKS[placed.job.spec.rank] > rank
+                # A team's guarantee goes before what another team runs beyond its own; little may be lost.
+                or (entitled and placed.job.no in self.jobs.beyond and placed.job.spec.team != spec.team
+                    and placed.job.spec.kind != wire.SERVICE and self._loss(placed, now) < self.policy.settle)
+            )
+        ]  # fmt: skip
+        if not lower:
+            return []
+        lower.sort(key=lambda placed: self._loss(placed, now))
+        left, victims = placement.room(machine, kind), list[Placement]()
+        for _, _, claim in self._reserved.get(machine.name, {}).values():
+            # What is being stopped there makes room for another task; it can't make it twice.
+            left = placement.Room(left.cores - claim.cores, left.gpus - claim.gpus, left.ram - claim.ram)
+        for placed in lower:
+            if left.holds(spec):
+                break
+            out = placed.job.spec
+            left = placement.Room(left.cores + out.cores, left.gpus + out.gpus, left.ram + out.ram)
+            victims.append(placed)
+        fits = left.holds(spec) and placement.leaves_gpus_usable(spec, left, kind, self.jobs.needs)
+        return victims if fits else []
+
+    @staticmethod
+    def _loss(placed: Placement, now: float) -> float:
+        """Seconds of work that a stop throws away."""
+        if placed.stopping_at is not None or placed.ran_at is None:
+            return 0.0
+        return placed.job.spec.save if placed.job.spec.checkpoint else now - placed.ran_at
+
+    def _place_gang(self, job: Job, stock: placement.Stock) -> None:
+        """A gang starts only when all its tasks have room at once; a lost one is replaced singly."""
+        spec, count = job.spec, job.waiting
+        if not self.jobs.within_limit(spec, count):
+            return
+        for zones in [{zone} for zone in sorted(self.fleet.zones)] if spec.one_zone else [self.fleet.zones]:
+            chosen: list[Machine] = []
+            for _ in range(count):
+                counts = [machine.zone for machine in chosen]
+                most = spec.zone_share if spec.spread else count
+                opens = {zone: zone in zones and counts.count(zone) < most for zone in self.fleet.zones}
+                machine = placement.choose(spec, job.no, stock, self.jobs.needs, self.policy.sample, opens)
+                if machine is None:
+                    break
+                machine.claim(spec, 1)
+                chosen.append(machine)
+            for machine in chosen:
+                machine.claim(spec, -1)
+            if len(chosen) == count:
+                for machine in chosen:
+                    self._place(job, machine)
+                return
+
+    def _kick_later(self) -> None:
+        self.later(self.policy.retry, self.kick)
+
+    def wake(self) -> None:
+        """A pass for jobs that were held back and no longer are."""
+        now = self.runtime.now()
+        held = self.jobs.backoff
+        if any(now < until < now + 2 * self.policy.retry for until in held.values()):
+            self._kick_later()
+        self.jobs.backoff = {no: until for no, until in held.items() if until > now - self.policy.settle}
+
+    def _zones_open(self, job: Job) -> dict[str, bool]:
+        """Zones that the job's other placements leave open; those not named are open."""
+        spec = job.spec
+        if spec.one_zone and job.placed:
+            taken = {placed.zone for placed in job.placed.values()}
+            return {zone: zone in taken and len(taken) == 1 for zone in self.fleet.zones}
+        if spec.spread:
+            return {zone: False for zone in self.fleet.zones if job.zone_count(zone) >= spec.zone_share}
+        return {}
+
+    def _place(self, job: Job, machine: Machine) -> None:
+        task = job.next_task()
+        attempt = job.attempts.get(task, 0) + 1
+        now = self.runtime.now()
+
+        def committed() -> None:
+            placed.committed = True
+            if job.cancelled:
+                # Cancelled between proposal and commit: it was never launched, so it is over.
+                self.tracker.over(placed, False, "cancelled before launch")
+            elif job.placed.get(task) is placed:
+                self.orders.launch(placed)
+
+        self.ledger.propose(["P", job.no, task, attempt, machine.name, machine.zone], committed)
+        placed = job.placed[task]
+        placed.proposed_at = now
+        machine.use(placed)
--- /dev/null
+++ b/flaxtally/lead/term.py
@@ -0,0 +1,60 @@
+"""What the leader's duties share for as long as a term lasts."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from .. import wire
+from ..actor import Actor
+from ..cloud import Cloud
+from ..fleet import Machine
+from ..ledger.commit import Ledger
+from ..loop import Runtime
+from ..policy import Policy
+from ..settings import Settings
+
+
+class Fleet:
+    """The machines that the leader knows in this term, and the names of those proven gone."""
+
+    def __init__(self, runtime: Runtime, ledger: Ledger, zones: tuple[str, ...]) -> None:
+        self._runtime, self._ledger = runtime, ledger
+        self.machines: dict[str, Machine] = {}
+        self.gone: set[str] = set()
+        self.zones = set(zones)
+
+    def adopt(self, name: str, kind: str, zone: str, spot: bool) -> Machine:
+        machine = self.machines.get(name)
+        if machine is None:
+            machine = self.machines[name] = Machine(name, kind, zone, spot, self._runtime.now())
+            self.zones.add(zone)
+            for placed in self._ledger.book.on_machine.get(name, {}).values():
+                machine.use(placed)
+        return machine
+
+
+class Term:
+    """One term of leading. Once it is over, `active` is false for ever, and late answers end there."""
+
+    def __init__(
+        self, number: int, runtime: Runtime, settings: Settings, policy: Policy, ledger: Ledger, cloud: Cloud,
+        rng: random.Random, kinds: dict[str, wire.MachineType],
+    ) -> None:  # fmt: skip
+        self.number, self.runtime, self.settings, self.policy = number, runtime, settings, policy
+        self.ledger, self.cloud, self.rng, self.kinds = ledger, cloud, rng, kinds
+        self.active = False
+        self.began = runtime.now()
+        self.fleet = Fleet(runtime, ledger, settings.zones)
+        self.kick: Callable[[], None] = lambda: None
+        """Asks for a pass of the scheduler."""
+
+
+class Duty(Actor):
+    """One duty of the leader, for one term."""
+
+    def __init__(self, term: Term) -> None:
+        super().__init__(term.runtime)
+        self.term, self.fleet = term, term.fleet
+        self.settings, self.policy = term.settings, term.policy
+        self.ledger, self.cloud, self.rng = term.ledger, term.cloud, term.rng
--- /dev/null
+++ b/flaxtally/lead/tracker.py
@@ -0,0 +1,309 @@
+"""What is proven about the machines: reports, silence, releases, the cloud's list."""
+
+from __future__ import annotations
+
+import logging
+
+from .. import wire
+from ..cloud import MOST_RELEASED
+from ..fleet import Machine
+from ..ledger.book import Placement
+from .jobs import Jobs
+from .orders import Orders
+from .term import Duty, Term
+
+log = logging.getLogger(__name__)
+
+
+class Tracker(Duty):
+    """Owns the proofs: it alone says that a placement is over."""
+
+    def __init__(self, term: Term, jobs: Jobs, orders: Orders) -> None:
+        super().__init__(term)
+        self.jobs, self.orders = jobs, orders
+        self._exits: dict[tuple[str, str, int], Placement] = {}
+        self._errors: dict[str, set[str]] = {}
+        self._releasing_now = False
+        orders.deliver = self.on_report
+
+    def on_report(self, server: str, report: wire.Report) -> None:
+        """A worker's report, taken by the part `server`, or the body of an orders' answer."""
+        if not self.term.active or report.machine in self.fleet.gone:
+            return
+        now = self.runtime.now()
+        machine = self.fleet.machines.get(report.machine)
+        if machine is None:
+            log.info("event=adopt term=%d machine=%s", self.term.number, report.machine)
+            machine = self.fleet.adopt(report.machine, report.type, report.zone, report.spot)
+        if not machine.kind:
+            machine.kind, machine.spot = report.type, report.spot
+        if not machine.newer(report.session, report.sequence):
+            return
+        if machine.booting:
+            machine.booting = False
+            machine.up_at = machine.idle_since = now
+            log.info("event=machine_up term=%d machine=%s type=%s zone=%s spot=%s after=%.1f", self.term.number,
+                     machine.name, machine.kind, machine.zone, machine.spot, now - machine.rented_at)  # fmt: skip
+            self.term.kick()
+        machine.address, machine.server = report.address, server
+        if not (machine.baseline and report.token < self.term.number):
+            machine.heard_at = max(machine.heard_at, now)
+        machine.failed_probes = 0
+        if report.token != self.term.number:
+            # Not made under our token: no proof of anything. Answering gives it the token.
+            machine.session = max(machine.session, report.session)
+            return
+        if report.session > machine.session:
+            machine.images.clear()
+        machine.session, machine.sequence = report.session, report.sequence
+        if not machine.baseline:
+            machine.baseline = True
+            self.term.kick()
+        if report.notice is not None and machine.notice_until is None:
+            self._noticed(machine, report.notice)
+        listed = {(task.task, task.attempt): task for task in report.tasks}
+        for placed in list(machine.placements.values()):
+            self._compare(machine, placed, listed.pop((placed.name, placed.attempt), None))
+        for left in listed.values():
+            self._unplaced(machine, left)
+
+    def _compare(self, machine: Machine, placed: Placement, task: wire.TaskReport | None) -> None:
+        """What a believed report says of one placement."""
+        now = self.runtime.now()
+        if task is None:
+            if placed.launch_session:
+                if placed.launch_session < machine.session:
+                    self.over(placed, False, "session")
+                elif not placed.seen and now - placed.sent_at > self.policy.order_call and not placed.job.cancelled:
+                    self.orders.launch(placed)
+                elif not placed.seen and placed.job.cancelled and placed.open == 0:
+                    self.over(placed, False, "never launched")
+            elif placed.inherited:
+                self.over(placed, False, "absent")
+            return
+        placed.seen = True
+        if task.state == wire.EXITED:
+            self._exited(machine, placed, task)
+            return
+        if task.state != placed.state:
+            placed.state = task.state
+            if task.state == wire.RUNNING and placed.ran_at is None:
+                placed.ran_at = now
+                log.debug("event=running term=%d task=%s lane=%s attempt=%d machine=%s type=%s spot=%s queued=%.2f "
+                          "starting=%.2f cached=%s",
+                          self.term.number, placed.name, placed.job.spec.lane, placed.attempt, machine.name,
+                          machine.kind, machine.spot,
+                          placed.proposed_at - placed.job.known_at, now - placed.proposed_at,
+                          placed.job.spec.image in machine.images)  # fmt: skip
+                kind = self.term.kinds.get(machine.kind)
+                machine.note_image(placed.job.spec.image, placed.job.spec.image_gb, kind.cache if kind else 0.0)
+        if placed.job.cancelled and placed.job.told and now - placed.sent_at > self.policy.retry:
+            self.orders.stop(placed, 0.0)
+
+    def _exited(self, machine: Machine, placed: Placement, task: wire.TaskReport) -> None:
+        cause, ref = task.cause, placed.job.spec.ref
+        if cause == wire.CAUSE_DONE:
+            machine.errors.clear()
+        elif cause == wire.CAUSE_ERROR:
+            machine.errors[ref] = machine.errors.get(ref, 0) + 1
+            tried = self._errors.setdefault(ref, set())
+            tried.add(machine.name)
+            self.jobs.backoff[placed.job.no] = self.runtime.now() + self.policy.retry * min(2 ** len(tried), 64)
+            log.info("event=task_error term=%d task=%s machine=%s", self.term.number, placed.name, machine.name)
+            if len(machine.errors) >= 2 and not machine.draining:
+                log.info("event=machine_faulty term=%d machine=%s", self.term.number, machine.name)
+                machine.draining = True
+        elif cause in (wire.CAUSE_FULL, wire.CAUSE_IN_USE, wire.CAUSE_UNKNOWN):
+            self.jobs.backoff[placed.job.no] = self.runtime.now() + self.policy.retry * 2
+            log.info("event=refused term=%d task=%s machine=%s cause=%s", self.term.number, placed.name, machine.name,
+                     cause)  # fmt: skip
+        self._exits[machine.name, placed.name, placed.attempt] = placed
+        self.over(placed, cause == wire.CAUSE_DONE, cause or "exited")
+
+    def _unplaced(self, machine: Machine, task: wire.TaskReport) -> None:
+        """A task on the machine that the ledger does not place there."""
+        if task.state != wire.EXITED:
+            log.warning("event=stray term=%d task=%s attempt=%d machine=%s", self.term.number, task.task, task.attempt,
+                        machine.name)  # fmt: skip
+            self.orders.order(machine, wire.stop(task.task, task.attempt, 0.0), None)
+            return
+        # Forget it only when no copy of its launch can still arrive: one would start it again.
+        ended = self._exits.get((machine.name, task.task, task.attempt))
+        if ended is None:
+            self.orders.order(machine, wire.forget(task.task, task.attempt), None)
+        elif ended.open == 0 and not ended.committed:
+            del self._exits[machine.name, task.task, task.attempt]
+            self.orders.order(machine, wire.forget(task.task, task.attempt), None)
+
+    def over(self, placed: Placement, done: bool, why: str) -> None:
+        """The placement is proven over: the record, and then whatever waits for it."""
+        job, now = placed.job, self.runtime.now()
+        machine = self.fleet.machines.get(placed.machine)
+        log.debug("event=over term=%d task=%s attempt=%d machine=%s why=%s", self.term.number, placed.name,
+                  placed.attempt, placed.machine, why)  # fmt: skip
+
+        def committed() -> None:
+            placed.committed = False
+            if job.done and not job.told:
+                job.told = wire.DONE
+                log.info("event=job_done term=%d job=%s", self.term.number, job.spec.ref)
+
+        self.ledger.propose(["E", job.no, placed.task, placed.attempt, done], committed)
+        if machine is not None:
+            machine.free(placed, now)
+        if job.final and not job.placed:
+            self.jobs.live.pop(job.no, None)
+            self._errors.pop(job.spec.ref, None)
+        self.term.kick()
+
+    def _noticed(self, machine: Machine, notice: float) -> None:
+        """The cloud takes the machine: save what can be saved, place nothing more."""
+        now = self.runtime.now()
+        machine.notice_until = now + notice
+        machine.draining = True
+        log.info("event=notice term=%d machine=%s in=%.1f tasks=%d", self.term.number, machine.name, notice,
+                 len(machine.placements))  # fmt: skip
+        for placed in machine.placements.values():
+            spec = placed.job.spec
+            if spec.checkpoint and placed.state == wire.RUNNING and spec.save < notice:
+                self.orders.stop(placed, spec.save)
+            elif spec.kind != wire.SERVICE and not spec.checkpoint:
+                # What can't end before the machine is taken is lost either way: better begun elsewhere now.
+                left = spec.estimate - (now - placed.ran_at) if placed.ran_at is not None else spec.estimate
+                if left > 1.5 * notice:
+                    self.orders.stop(placed, 0.0)
+        self.term.kick()
+
+    def usable(self) -> list[Machine]:
+        now = self.runtime.now()
+        return [
+            machine
+            for machine in self.fleet.machines.values()
+            if machine.baseline and not machine.draining and not machine.releasing and machine.kind in self.term.kinds
+            and now - machine.heard_at < self.policy.machine_suspect and machine.orders_failed < 2
+        ]  # fmt: skip
+
+    def watch(self) -> None:
+        """Silent machines, late boots, unkept cancellations: probe, and release what stays silent."""
+        now, policy = self.runtime.now(), self.policy
+        for job in list(self.jobs.live.values()):
+            if job.cancelled and job.told and now - job.cancelled_at > policy.cancel_patience:
+                for placed in list(job.placed.values()):
+                    machine = self.fleet.machines.get(placed.machine)
+                    if machine is not None and not machine.releasing:
+                        self.release(machine, "cancelled task not confirmed gone")
+        dark = self._dark_zones(now)
+        for machine in list(self.fleet.machines.values()):
+            if machine.releasing:
+                continue
+            age = now - machine.heard_at
+            if machine.booting:
+                kind = self.term.kinds.get(machine.kind)
+                if kind is not None and now - machine.rented_at > policy.boot_patience * max(kind.boot, policy.settle):
+                    self.release(machine, "never came up")
+            elif age > policy.machine_suspect:
+                if not machine.probing and machine.address:
+                    self._probe(machine)
+                if machine.notice_until is not None and now > machine.notice_until:
+                    self.release(machine, "silent, and its notice is over")
+                    continue
+                patience = policy.zone_silence if machine.zone in dark else policy.machine_silence
+                if age > patience and (machine.failed_probes >= 2 or not machine.address):
+                    self.release(machine, f"silent for {age:.1f}s")
+            elif machine.draining and not machine.placements and machine.baseline:
+                self.release(machine, "drained")
+
+    def _dark_zones(self, now: float) -> set[str]:
+        """Zones in which most machines fell silent together: that is the network or a controller, and the
+        machines are likely well."""
+        counts: dict[str, list[int]] = {}
+        for machine in self.fleet.machines.values():
+            if not machine.booting and not machine.releasing:
+                count = counts.setdefault(machine.zone, [0, 0])
+                count[0] += 1
+                count[1] += now - machine.heard_at > self.policy.machine_suspect
+        return {zone for zone, (up, silent) in counts.items() if silent >= 3 and silent * 2 > up}
+
+    def _probe(self, machine: Machine) -> None:
+        machine.probing = True
+        server = self.settings.node
+
+        def told(status: int, body: bytes) -> None:
+            machine.probing = False
+            if status == 200:
+                machine.failed_probes = 0
+                self.orders.answered(server, body)
+            else:
+                machine.failed_probes += 1
+
+        self.orders.carrier.carry(server, machine.name, machine.address, None, told)
+
+    def release(self, machine: Machine, why: str) -> None:
+        log.info("event=release term=%d machine=%s type=%s zone=%s spot=%s tasks=%d why=%r", self.term.number,
+                 machine.name, machine.kind, machine.zone, machine.spot, len(machine.placements), why)  # fmt: skip
+        machine.releasing = True
+
+    def flush_releases(self) -> None:
+        now = self.runtime.now()
+        names = [machine.name for machine in self.fleet.machines.values() if machine.releasing]
+        if not names or self._releasing_now:
+            return
+        names = sorted(names, key=lambda name: self.fleet.machines[name].release_tried)[:MOST_RELEASED]
+        for name in names:
+            self.fleet.machines[name].release_tried = now
+        self._releasing_now = True
+
+        def told(released: bool) -> None:
+            if not self.term.active:
+                return
+            self._releasing_now = False
+            if released:
+                for name in names:
+                    self._released(name)
+
+        self.cloud.release(names, told)
+
+    def _released(self, name: str) -> None:
+        """The cloud's 200 is the proof that the machine and all that was on it are gone."""
+        machine = self.fleet.machines.pop(name, None)
+        self.fleet.gone.add(name)
+        if machine is None:
+            return
+        for placed in list(machine.placements.values()):
+            if placed.committed:
+                self.over(placed, False, "machine released")
+            else:
+                # Its commit is under way: when it ends, nothing may be launched there.
+                self.ledger.propose(["E", placed.job.no, placed.task, placed.attempt, False])
+        self._exits = {key: placed for key, placed in self._exits.items() if key[0] != name}
+        self.term.kick()
+
+    def list_machines(self) -> None:
+        """Asks the cloud for its list, which lags: it finds machines, and never proves one gone."""
+
+        def told(listed: list[wire.Listed] | None) -> None:
+            if listed is None or not self.term.active:
+                return
+            now = self.runtime.now()
+            for entry in listed:
+                if entry.machine in self.fleet.gone:
+                    continue
+                machine = self.fleet.machines.get(entry.machine)
+                if machine is None:
+                    log.info("event=found term=%d machine=%s stage=%s", self.term.number, entry.machine, entry.state)
+                    machine = self.fleet.adopt(entry.machine, entry.type, entry.zone, entry.spot)
+                    machine.rented_at = now - entry.age
+                if not machine.kind:
+                    machine.kind, machine.spot = entry.type, entry.spot
+                if entry.address and not machine.address:
+                    machine.address = entry.address
+                    if entry.state != wire.BOOTING:
+                        self.orders.push_token(machine)
+                if entry.state == wire.FAILED and not machine.releasing:
+                    self.release(machine, "listed as failed")
+                elif entry.state == wire.RUNNING and machine.booting and not machine.baseline:
+                    machine.booting = False
+                    machine.heard_at = now
+            self.flush_releases()
+
+        self.cloud.listing(told)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -51,7 +51,7 @@
     leader = world.leader()
     assert leader
     node = world.nodes[leader]
-    node.leader._carry = lambda *_: None  # type: ignore[method-assign]  the orders never leave
+    node.leader.orders._carry = lambda *_: None  # type: ignore[method-assign]  the orders never leave
     world.submit(spec("j-000050", tasks=2), node=NODES.index(leader))
     assert world.until(lambda: "j-000050" in world.accepted, 5)
     world.run(0.5)
@@ -228,14 +228,14 @@
     old = world.leader()
     assert old
     world.crash(old, back_after=30.0)
-    assert world.until(lambda: (new := world.leader()) is not None and world.nodes[new].leader.active, 10)
+    assert world.until(lambda: (new := world.leader()) is not None and world.nodes[new].leader.term.active, 10)
     leader = world.nodes[world.leader() or ""].leader
     machine = world.machine_of("j-000000/0")
     report = world.workers[machine].report()
-    report.tasks, report.token, report.sequence = [], leader._term - 1, 10**6
-    placed = dict(leader.machines[machine].placements)
+    report.tasks, report.token, report.sequence = [], leader.term.number - 1, 10**6
+    placed = dict(leader.term.fleet.machines[machine].placements)
     leader.on_report("hearth-0", report)
-    assert leader.machines[machine].placements == placed != {}
+    assert leader.term.fleet.machines[machine].placements == placed != {}
 
 
 def test_an_attempt_whose_launch_is_unanswered_is_not_forgotten() -> None:
@@ -415,7 +415,7 @@
     world.crash(world.leader() or "", back_after=5.0)
     world.run(15)
     leader = world.nodes[world.leader() or ""].leader
-    used = sum(machine.cores for machine in leader.machines.values())
+    used = sum(machine.cores for machine in leader.term.fleet.machines.values())
     assert used == sum(usage.cores for usage in leader.book.usage.values()) == 16.0
 
 
