Several machines are emptied at a time in a large fleet, into idle cheap ones too

Change: one emptying for every two samples of machines; replicas of those under way find their room first; idle machines that cost less than half are targets; a short fetch is allowed.

--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -7,65 +7,78 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from . import wire
 from .fleet import Machine
 from .ledger.book import Job, Placement
-from .placement import GpuNeeds, Stock, choose
+from .placement import GpuNeeds, Stock, choose, fetch_seconds
 
 
 def pick(
     machines: Sequence[Machine], kinds: dict[str, wire.MachineType], needs: GpuNeeds, sample: int,
     rng: random.Random, zones_without: Callable[[Job, Placement], dict[str, bool]],
-    settled: Callable[[Placement], bool], beside_arrays: bool,
-) -> Machine | None:  # fmt: skip
-    """The machine whose return saves most a replica moved, if all on it fit on other used machines.
+    settled: Callable[[Placement], bool], beside_arrays: bool, moving: Collection[Machine] = (),
+    firm: Collection[str] = (), away: float = 0.0,
+) -> tuple[Machine | None, list[str]]:  # fmt: skip
+    """The machine whose return saves most a replica moved, if all on it fit on other used machines, or on
+    idle ones that cost less than half; and the names of those that were looked at and can't be emptied.
 
-    `beside_arrays`: also one where array tasks still run, which will take none while it is emptied."""
+    `beside_arrays`: also one where array tasks still run, which will take none while it is emptied.
+    `moving`: machines being emptied, whose replicas find their room first. `firm`: machines to pass over.
+    `away`: for how many seconds a replica may fetch its image."""
     candidates = [
         machine
         for machine in machines
-        if _replicas(machine) and all(settled(placed) for placed in _replicas(machine))
+        if machine.name not in firm
+        and _replicas(machine) and all(settled(placed) for placed in _replicas(machine))
         and (beside_arrays or len(_replicas(machine)) == len(machine.placements))
     ]  # fmt: skip
     candidates.sort(key=lambda machine: -_hourly(machine, kinds) / len(_replicas(machine)))
+    failed: list[str] = []
     if not candidates:
-        return None
-    stock = Stock((machine for machine in machines if machine.placements), kinds, rng)
-    for machine in candidates[: max(1, sample // 4)]:
-        if _fits(machine, stock, needs, sample, zones_without):
-            return machine
-    return None
-
-
-def _replicas(machine: Machine) -> list[Placement]:
-    """What must move; tasks of arrays are left to end."""
-    return [placed for placed in machine.placements.values() if placed.job.spec.kind == wire.SERVICE]
-
-
-def _hourly(machine: Machine, kinds: dict[str, wire.MachineType]) -> float:
-    kind = kinds[machine.kind]
-    return kind.spot_price if machine.spot else kind.price
-
-
-def _fits(
-    machine: Machine, stock: Stock, needs: GpuNeeds, sample: int,
-    zones_without: Callable[[Job, Placement], dict[str, bool]],
-) -> bool:  # fmt: skip
+        return None, failed
+    stock = Stock(machines, kinds, rng)
     claimed: list[tuple[Machine, wire.Spec]] = []
-    try:
+
+    def fits(machine: Machine) -> bool:
+        price = _hourly(machine, kinds)
         for placed in sorted(_replicas(machine), key=lambda placed: -placed.job.spec.cores):
             spec = placed.job.spec
             target = choose(
                 spec, placed.job.no, stock, needs, sample, zones_without(placed.job, placed),
-                lambda other, image=spec.image: other is not machine and image in other.images,  # type: ignore[misc]
+                lambda other, spec=spec: other is not machine  # type: ignore[misc]
+                and (bool(other.placements) or 2 * _hourly(other, kinds) < price)
+                and fetch_seconds(spec, other, kinds[other.kind]) <= away,
             )  # fmt: skip
             if target is None:
                 return False
             target.claim(spec, 1)
             claimed.append((target, spec))
         return True
+
+    try:
+        if not all(fits(machine) for machine in moving):
+            return None, failed
+        held = len(claimed)
+        for machine in candidates[: max(1, sample // 4)]:
+            if fits(machine):
+                return machine, failed
+            failed.append(machine.name)
+            while len(claimed) > held:
+                target, spec = claimed.pop()
+                target.claim(spec, -1)
+        return None, failed
     finally:
         for target, spec in claimed:
             target.claim(spec, -1)
+
+
+def _replicas(machine: Machine) -> list[Placement]:
+    """What must move; tasks of arrays are left to end."""
+    return [placed for placed in machine.placements.values() if placed.job.spec.kind == wire.SERVICE]
+
+
+def _hourly(machine: Machine, kinds: dict[str, wire.MachineType]) -> float:
+    kind = kinds[machine.kind]
+    return kind.spot_price if machine.spot else kind.price
--- a/flaxtally/lead/emptier.py
+++ b/flaxtally/lead/emptier.py
@@ -16,27 +16,31 @@
 
 
 class Emptier(Duty):
-    """Owns the emptying under way, one machine at a time."""
+    """Owns the emptying under way: one machine at a time in a small fleet, several in a large one."""
 
     def __init__(self, term: Term, jobs: Jobs, tracker: Tracker, orders: Orders, planner: Planner) -> None:
         super().__init__(term)
         self.jobs, self.tracker, self.orders, self.planner = jobs, tracker, orders, planner
-        self._moving: str | None = None
-        self._moving_since = 0.0
+        self._moving: dict[str, float] = {}
+        """Machines being emptied, and since when."""
+        self._firm: dict[str, float] = {}
+        """Machines that could not be emptied, until when they are passed over."""
 
     def consolidate(self, now: float) -> None:
-        """Begins to empty a machine, when all is calm; `move_on` moves its replicas one at a time."""
-        usable = self.tracker.usable()
+        """Begins to empty machines, when all is calm; `move_on` moves their replicas one at a time."""
+        few = len(self.fleet.machines) // (2 * self.policy.sample)
+        most = max(1, few)
+        silent = sum(
+            now - machine.heard_at >= self.policy.machine_suspect
+            for machine in self.fleet.machines.values() if not machine.booting
+        )  # fmt: skip
         calm = (
-            self._moving is None
+            len(self._moving) < most
             and now - self.term.began > self.policy.settle
+            and silent <= few
             and not any(
                 job.waiting and wire.RANKS[job.spec.rank] < wire.RANKS["standard"] for job in self.jobs.queue()
             )
-            and all(
-                now - machine.heard_at < self.policy.machine_suspect
-                for machine in self.fleet.machines.values() if not machine.booting
-            )
         )
         if not calm:
             return
@@ -46,17 +50,24 @@
             return placed.state == wire.RUNNING and placed.ran_at is not None and (
                 now - placed.ran_at > self.policy.move_after)  # fmt: skip
 
-        machine = consolidate.pick(
-            usable, self.term.kinds, self.jobs.needs, self.policy.sample, self.rng, self._zones_without, settled,
-            not any(job.waiting for job in self.jobs.live.values()),
-        )  # fmt: skip
-        if machine is None:
-            return
-        if self.planner.spare(machine, self.planner.demands(now), now):
+        self._firm = {name: until for name, until in self._firm.items() if until > now}
+        beside_arrays = not any(job.waiting for job in self.jobs.live.values())
+        demands = self.planner.demands(now)
+        while len(self._moving) < most:
+            moving = [machine for name in self._moving if (machine := self.fleet.machines.get(name)) is not None]
+            machine, failed = consolidate.pick(
+                self.tracker.usable(), self.term.kinds, self.jobs.needs, self.policy.sample, self.rng,
+                self._zones_without, settled, beside_arrays, moving, self._firm, self.policy.move_fetch,
+            )  # fmt: skip
+            self._firm.update(dict.fromkeys(failed, now + self.policy.settle))
+            if machine is None:
+                return
+            if not self.planner.spare(machine, demands, now):
+                self._firm[machine.name] = now + self.policy.settle
+                return
             log.info("event=empty term=%d machine=%s type=%s zone=%s replicas=%d", self.term.number, machine.name,
                      machine.kind, machine.zone, len(machine.placements))  # fmt: skip
-            self._moving = machine.name
-            self._moving_since = now
+            self._moving[machine.name] = now
             machine.draining = True
 
     def _zones_without(self, job: Job, placed: Placement) -> dict[str, bool]:
@@ -69,22 +80,21 @@
         }  # fmt: skip
 
     def move_on(self, now: float) -> None:
-        if self._moving is None:
-            return
-        machine = self.fleet.machines.get(self._moving)
-        if machine is None or machine.releasing or not machine.placements:
-            self._moving = None
-            return
-        stuck = now - self._moving_since > self.policy.move_patience
-        if stuck and machine.notice_until is None:
-            log.info("event=empty_given_up term=%d machine=%s", self.term.number, machine.name)
-            self._moving = None
-            machine.draining = False
-            return
+        """Moves the next replica of each machine, once the last one is placed."""
         waiting = any(job.waiting and job.spec.kind == wire.SERVICE for job in self.jobs.live.values())
-        stopping = any(placed.stopping_at is not None for placed in machine.placements.values())
-        if not waiting and not stopping:
-            for placed in machine.placements.values():
-                if placed.seen and placed.job.spec.kind == wire.SERVICE:
-                    self.orders.stop(placed, 0.0)
-                    break
+        for name, since in list(self._moving.items()):
+            machine = self.fleet.machines.get(name)
+            if machine is None or machine.releasing or not machine.placements:
+                del self._moving[name]
+                continue
+            if now - since > self.policy.move_patience and machine.notice_until is None:
+                log.info("event=empty_given_up term=%d machine=%s", self.term.number, machine.name)
+                del self._moving[name]
+                machine.draining = False
+                continue
+            stopping = any(placed.stopping_at is not None for placed in machine.placements.values())
+            if not waiting and not stopping:
+                for placed in machine.placements.values():
+                    if placed.seen and placed.job.spec.kind == wire.SERVICE:
+                        self.orders.stop(placed, 0.0)
+                        break
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -31,6 +31,7 @@
     pool_rest: float
     move_after: float
     move_patience: float
+    move_fetch: float
     boot_patience: float
     retry: float
     ask: float
@@ -62,6 +63,7 @@
         pool_rest=lease * 2,
         move_after=lease * 4,
         move_patience=lease * 4,
+        move_fetch=report * 2,
         boot_patience=3.0,
         retry=report / 3,
         ask=report,
