A gap before the last step goes to types that boot in time; booting machines count when up

Types that boot in 25 s were left unrented. Ruled out: cold caches (the late ones waited for a place, not for an image).

--- a/flaxtally/fill.py
+++ b/flaxtally/fill.py
@@ -15,6 +15,8 @@
 from .forecast import Shape
 from .placement import SLACK, GpuNeeds, allowed
 
+HASTE = 2.0
+
 
 @dataclass
 class Bin:
@@ -106,11 +108,13 @@
 
 def cheapest(
     demand: Demand, count: int, first: float, kinds: dict[str, wire.MachineType], pools: list[Pool],
-    needs: GpuNeeds, spot_worth: float,
+    needs: GpuNeeds, spot_worth: float, by: float,
 ) -> tuple[float, Pool] | None:  # fmt: skip
-    """The pool with the lowest price per unit of work for this gap. Among equal ones, the zone that
-    the shape's machines use least."""
+    """The pool with the lowest price per unit of work for this gap, of the types that boot by then. Among
+    equal ones, the zone that the shape's machines use least. None also if being there in time costs
+    `HASTE` times as much as the cheapest type: a later step's gap will take that one."""
     best: tuple[float, int, Pool] | None = None
+    lowest = float("inf")
     shape = demand.shape
     hours = max(demand.until - first, 1.0) / 3600
     for pool in pools:
@@ -123,10 +127,11 @@
             continue
         price = kind.spot_price * spot_worth if pool.spot else kind.price
         score = (price * kind.boot / 3600 + hours * price) / (served * hours)
+        lowest = min(lowest, score)
         key = (round(score, 6), demand.zones.get(pool.zone, 0))
-        if best is None or key < best[:2]:
+        if kind.boot <= by and (best is None or key < best[:2]):
             best = (*key, pool)
-    return (best[0], best[2]) if best else None
+    return (best[0], best[2]) if best and best[0] < HASTE * lowest else None
 
 
 def plan(
@@ -134,18 +139,19 @@
     needs: GpuNeeds, spot_worth: float, most: int,
 ) -> list[Rent]:  # fmt: skip
     """What to rent now. `steps`: (time from now, demand, rooms) in order of time; what is rented for one
-    step is room at the later ones."""
+    step is room at the later ones. Before the last step, only types that boot in time serve a gap."""
     rents: list[Rent] = []
     joined: list[tuple[Pool, wire.MachineType]] = []
     open_pools = list(pools)
-    for at, demands, rooms in steps:
+    for number, (at, demands, rooms) in enumerate(steps, 1):
+        by = at if number < len(steps) else float("inf")
         bins = rooms + [
             Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram) for pool, kind in joined
         ]  # fmt: skip
         for demand in demands:
             left = pack(demand, bins, needs)
             while left > 0 and len(rents) < most:
-                found = cheapest(demand, left, at, kinds, open_pools, needs, spot_worth)
+                found = cheapest(demand, left, at, kinds, open_pools, needs, spot_worth, by)
                 if found is None:
                     break
                 score, pool = found
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -189,13 +189,16 @@
         return Demand(demand.shape, count, at + demand.until, demand.zones, caps)
 
     def _rooms(self, now: float, at: float) -> list[Bin]:
-        """The room of machines that serve by then: free now, or freed by tasks estimated to end."""
+        """The room of machines that serve by then: free now, or freed by tasks estimated to end. Those that
+        can't be up by then count at the last step only."""
         bins: list[Bin] = []
+        last = at >= self._steps()[-1]
         for machine in self.fleet.machines.values():
             kind = self.term.kinds.get(machine.kind)
             if kind is None or machine.draining or machine.releasing:
                 continue
-            if machine.booting and now - machine.rented_at > 2 * kind.boot:
+            asked = now - machine.rented_at
+            if machine.booting and (asked > 2 * kind.boot or not (last or kind.boot - asked <= at)):
                 continue
             if not machine.booting and now - machine.heard_at > self.policy.machine_suspect:
                 continue
@@ -213,7 +216,8 @@
             bins.append(space)
         for pool, count, _ in self._pending_hires.values():
             kind = self.term.kinds[pool.kind]
-            bins += [Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram) for _ in range(count)]
+            if last or kind.boot <= at:
+                bins += [Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram) for _ in range(count)]
         return bins
 
     def _rent(self, pool: Pool, count: int, why: fill.Rent) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import copy
 import random
 import tomllib
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from flaxtally import wire
 from flaxtally.cli import main
+from flaxtally.consolidate import pick
 from flaxtally.dispatch import owner
 from flaxtally.fill import Bin, Demand, Pool, pack, plan
 from flaxtally.fleet import Machine
@@ -260,6 +263,21 @@
     assert [rent.pool.zone for rent in rents] == ["b"]
 
 
+def test_fill_serves_an_early_gap_with_what_boots_in_time_unless_that_is_dear() -> None:
+    # Found on a grown deployment: small front replicas waited a minute for big machines that were still
+    # booting and counted as room, while small ones boot in a third of that time.
+    gate = Shape.of(spec("j-000001"))
+    pools = [Pool(kind, "a", False) for kind in ("c16", "g8")]
+    quick, slow = KINDS["c16"], msgspec.structs.replace(KINDS["g8"], price=1.0, boot=60.0)
+
+    def kinds_for(price: float) -> dict[str, wire.MachineType]:
+        return {"c16": msgspec.structs.replace(quick, price=price), "g8": slow}
+
+    steps = [(30.0, [Demand(gate, 8, 300.0)], []), (60.0, [Demand(gate, 8, 300.0)], [])]
+    assert [rent.pool.kind for rent in plan(copy.deepcopy(steps), kinds_for(0.6), pools, NEEDS, 1.1, 9)] == ["c16"]
+    assert [rent.pool.kind for rent in plan(copy.deepcopy(steps), kinds_for(5.0), pools, NEEDS, 1.1, 9)] == ["g8"]
+
+
 def test_pieces_of_room_do_not_add_up() -> None:
     # The sum of free GPUs would hold the task; no single machine does.
     big = Demand(Shape.of(batch("j-000001", 1, image="x")), 1, 60.0)
@@ -291,3 +309,24 @@
     assert owner("n-1", "a", [], zones) is None
     assert {owner(name, "b", ["h0", "h1", "h2"], zones) for name in names} == {"h1", "h2"}
     assert {owner(name, "a", ["h1", "h2"], zones) for name in names} == {"h1", "h2"}
+
+
+def test_emptying_counts_the_room_that_machines_being_emptied_will_need() -> None:
+    # Several machines are emptied at a time in a large fleet: two must not count on the same room.
+    book, fleet = Book(), [Machine(name, "c16", "a", False, 0.0) for name in ("x", "y", "z")]
+    for number, machine in enumerate(fleet, 1):
+        book.apply(["J", number, 0.0, *msgspec.to_builtins(spec(f"j-{number:06d}", cores=7.0))], 1)
+        book.apply(["P", number, 0, 1, machine.name, "a"], 1)
+        machine.use(book.jobs[number].placed[0])
+        machine.images["img-1"] = 1.0
+    x, y, z = fleet
+    z.claim(spec("j-000009", cores=4.0), 1)
+
+    def pick_with(moving: list[Machine]) -> Machine | None:
+        usable = [machine for machine in fleet if machine not in moving]
+        return pick(usable, KINDS, NEEDS, 24, random.Random(1), lambda *_: {}, lambda _: True, True, moving)[0]
+
+    assert pick_with([]) in fleet
+    assert pick_with([x]) is None
+    z.claim(spec("j-000009", cores=4.0), -1)
+    assert pick_with([x]) is not None
