Only dear machines are emptied, and lanes that can't wait keep room for the loss of some

Change: a machine is emptied only if it costs a quarter of the fleet's mean, a second one at a time only above the mean; moves pause while machines are silent; the plan keeps room for 6% of the running replicas of lanes whose wait aim no new machine can meet.

--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -19,22 +19,23 @@
     machines: Sequence[Machine], kinds: dict[str, wire.MachineType], needs: GpuNeeds, sample: int,
     rng: random.Random, zones_without: Callable[[Job, Placement], dict[str, bool]],
     settled: Callable[[Placement], bool], beside_arrays: bool, moving: Collection[Machine] = (),
-    firm: Collection[str] = (), away: float = 0.0,
+    firm: Collection[str] = (), away: float = 0.0, least: float = 0.0,
 ) -> tuple[Machine | None, list[str]]:  # fmt: skip
     """The machine whose return saves most a replica moved, if all on it fit on other used machines, or on
     idle ones that cost less than half; and the names of those that were looked at and can't be emptied.
 
     `beside_arrays`: also one where array tasks still run, which will take none while it is emptied.
     `moving`: machines being emptied, whose replicas find their room first. `firm`: machines to pass over.
+    `least`: the price an hour from which a machine's return is worth its replicas' moves.
     `away`: for how many seconds a replica may fetch its image."""
     candidates = [
         machine
         for machine in machines
-        if machine.name not in firm
+        if machine.name not in firm and hourly(machine, kinds) >= least
         and _replicas(machine) and all(settled(placed) for placed in _replicas(machine))
         and (beside_arrays or len(_replicas(machine)) == len(machine.placements))
     ]  # fmt: skip
-    candidates.sort(key=lambda machine: -_hourly(machine, kinds) / len(_replicas(machine)))
+    candidates.sort(key=lambda machine: -hourly(machine, kinds) / len(_replicas(machine)))
     failed: list[str] = []
     if not candidates:
         return None, failed
@@ -42,13 +43,13 @@
     claimed: list[tuple[Machine, wire.Spec]] = []
 
     def fits(machine: Machine) -> bool:
-        price = _hourly(machine, kinds)
+        price = hourly(machine, kinds)
         for placed in sorted(_replicas(machine), key=lambda placed: -placed.job.spec.cores):
             spec = placed.job.spec
             target = choose(
                 spec, placed.job.no, stock, needs, sample, zones_without(placed.job, placed),
                 lambda other, spec=spec: other is not machine  # type: ignore[misc]
-                and (bool(other.placements) or 2 * _hourly(other, kinds) < price)
+                and (bool(other.placements) or 2 * hourly(other, kinds) < price)
                 and fetch_seconds(spec, other, kinds[other.kind]) <= away,
             )  # fmt: skip
             if target is None:
@@ -79,6 +80,6 @@
     return [placed for placed in machine.placements.values() if placed.job.spec.kind == wire.SERVICE]
 
 
-def _hourly(machine: Machine, kinds: dict[str, wire.MachineType]) -> float:
+def hourly(machine: Machine, kinds: dict[str, wire.MachineType]) -> float:
     kind = kinds[machine.kind]
     return kind.spot_price if machine.spot else kind.price
--- a/flaxtally/lead/emptier.py
+++ b/flaxtally/lead/emptier.py
@@ -28,16 +28,11 @@
 
     def consolidate(self, now: float) -> None:
         """Begins to empty machines, when all is calm; `move_on` moves their replicas one at a time."""
-        few = len(self.fleet.machines) // (2 * self.policy.sample)
-        most = max(1, few)
-        silent = sum(
-            now - machine.heard_at >= self.policy.machine_suspect
-            for machine in self.fleet.machines.values() if not machine.booting
-        )  # fmt: skip
+        most = max(1, self._few())
         calm = (
             len(self._moving) < most
             and now - self.term.began > self.policy.settle
-            and silent <= few
+            and self._in_touch(now)
             and not any(
                 job.waiting and wire.RANKS[job.spec.rank] < wire.RANKS["standard"] for job in self.jobs.queue()
             )
@@ -53,11 +48,15 @@
         self._firm = {name: until for name, until in self._firm.items() if until > now}
         beside_arrays = not any(job.waiting for job in self.jobs.live.values())
         demands = self.planner.demands(now)
+        kinds = self.term.kinds
+        known = [machine for machine in self.fleet.machines.values() if machine.kind in kinds]
+        mean = sum(consolidate.hourly(machine, kinds) for machine in known) / max(1, len(known))
         while len(self._moving) < most:
             moving = [machine for name in self._moving if (machine := self.fleet.machines.get(name)) is not None]
             machine, failed = consolidate.pick(
-                self.tracker.usable(), self.term.kinds, self.jobs.needs, self.policy.sample, self.rng,
+                self.tracker.usable(), kinds, self.jobs.needs, self.policy.sample, self.rng,
                 self._zones_without, settled, beside_arrays, moving, self._firm, self.policy.move_fetch,
+                mean * (self.policy.move_worth if not moving else 1.0),
             )  # fmt: skip
             self._firm.update(dict.fromkeys(failed, now + self.policy.settle))
             if machine is None:
@@ -79,9 +78,22 @@
             zone: job.zone_count(zone) - (zone == placed.zone) < job.spec.zone_share for zone in self.fleet.zones
         }  # fmt: skip
 
+    def _few(self) -> int:
+        """How many machines may be silent or emptied at a time in a fleet of this size."""
+        return len(self.fleet.machines) // (2 * self.policy.sample)
+
+    def _in_touch(self, now: float) -> bool:
+        silent = sum(
+            now - machine.heard_at >= self.policy.machine_suspect
+            for machine in self.fleet.machines.values() if not machine.booting
+        )  # fmt: skip
+        return silent <= self._few()
+
     def move_on(self, now: float) -> None:
-        """Moves the next replica of each machine, once the last one is placed."""
-        waiting = any(job.waiting and job.spec.kind == wire.SERVICE for job in self.jobs.live.values())
+        """Moves the next replica of each machine, once the last one is placed and while all is in touch."""
+        waiting = not self._in_touch(now) or any(
+            job.waiting and job.spec.kind == wire.SERVICE for job in self.jobs.live.values()
+        )  # fmt: skip
         for name, since in list(self._moving.items()):
             machine = self.fleet.machines.get(name)
             if machine is None or machine.releasing or not machine.placements:
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -182,7 +182,10 @@
             count = max(0.0, count - self._running.get(demand.shape.lane, 0) * at / max(demand.until, 1.0))
         if self._typical(demand.shape):
             more = self.jobs.arrivals.rate(demand.shape.lane, now) * min(at, demand.until)
-            more += self.jobs.arrivals.largest(demand.shape.lane, now) if demand.shape.lane in self._reserve else 0.0
+            if demand.shape.lane in self._reserve:
+                # Room for the next job, and for what the loss of a few machines would leave without.
+                more += self.jobs.arrivals.largest(demand.shape.lane, now)
+                more += math.ceil(self.policy.slack * self._running.get(demand.shape.lane, 0))
             count += more
             if caps is not None:
                 caps = {zone: cap + math.ceil(more / 2) for zone, cap in caps.items()}
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -28,11 +28,15 @@
     plan_step: float
     plan_horizon: float
     plan_lead: float
+    slack: float
+    """Spare room for lanes that can't wait, as a share of their running replicas."""
     cool_down: float
     pool_rest: float
     move_after: float
     move_patience: float
     move_fetch: float
+    move_worth: float
+    """Of the fleet's mean price: the least at which a machine is emptied by moving its replicas."""
     boot_patience: float
     retry: float
     ask: float
@@ -61,11 +65,13 @@
         plan_step=lease / 4,
         plan_horizon=lease * 30,
         plan_lead=lease * 6,
+        slack=0.06,
         cool_down=lease * 3,
         pool_rest=lease * 2,
         move_after=lease * 4,
         move_patience=lease * 4,
         move_fetch=report * 2,
+        move_worth=0.25,
         boot_patience=3.0,
         retry=report / 3,
         ask=report,
