Machines that run their tasks slower are found by their job's other tasks and left alone

Cause: nothing noticed slow machines; a job with one task there ended minutes after its others. Change: the lengths of a job's ended tasks give its middle length (those that still run count as longer). Two tasks of a machine that take 1.7 times as long, or one 2.4 times, mark it: batch tasks keep away for a while, what can be saved goes on elsewhere, it is no room to the plan.

--- a/flaxtally/fleet.py
+++ b/flaxtally/fleet.py
@@ -14,7 +14,7 @@
     __slots__ = (
         "address", "baseline", "booting", "cores", "draining", "errors", "failed_probes", "gpus", "heard_at",
         "idle_since", "images", "kind", "name", "notice_until", "orders_failed", "placements", "probing", "ram",
-        "release_tried", "releasing", "rented_at", "sequence", "server", "session", "spot", "up_at", "zone",
+        "release_tried", "releasing", "rented_at", "sequence", "server", "session", "slow", "spot", "up_at", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str, kind: str, zone: str, spot: bool, now: float) -> None:
@@ -29,6 +29,8 @@
         self.idle_since = now
         self.notice_until: float | None = None
         self.draining = False
+        self.slow = False
+        """Runs its tasks slower than others: batch tasks go elsewhere."""
         self.releasing = False
         self.release_tried = float("-inf")
         self.probing = False
--- /dev/null
+++ b/flaxtally/lead/pace.py
@@ -0,0 +1,109 @@
+"""Machines that run their tasks slower than others: found by the lengths of tasks of the same job."""
+
+from __future__ import annotations
+
+import logging
+from bisect import insort
+
+from .. import wire
+from ..fleet import Machine
+from ..ledger.book import Job, Placement
+from .jobs import Jobs
+from .orders import Orders
+from .term import Duty, Term
+
+log = logging.getLogger(__name__)
+
+LEAST_ENDED = 6
+MOST_KEPT = 64
+
+Task = tuple[int, int, int]
+
+
+class Pace(Duty):
+    """Owns the lengths of ended tasks by job, and which tasks of a machine took, or take, too long.
+
+    Tasks of one job differ by half among themselves, and sound machines by a tenth. So one task that takes
+    a little too long proves nothing; two on one machine, or one that takes very long, do. Such a machine
+    gets no batch tasks for a while and is not counted as room; what can be saved there goes on elsewhere.
+    """
+
+    def __init__(self, term: Term, jobs: Jobs, orders: Orders) -> None:
+        super().__init__(term)
+        self.jobs, self.orders = jobs, orders
+        self._lengths: dict[int, list[float]] = {}
+        self._late: dict[str, dict[Task, float]] = {}
+        self._slow: dict[str, float] = {}
+
+    def ended(self, machine: Machine, placed: Placement) -> None:
+        """A task ended with its result."""
+        if placed.job.spec.kind != wire.ARRAY or placed.ran_at is None or placed.inherited:
+            return
+        usual, length = self._usual(placed.job), self.runtime.now() - placed.ran_at
+        if placed.attempt == 1:
+            # Later attempts may have gone on from a checkpoint.
+            lengths = self._lengths.setdefault(placed.job.no, [])
+            insort(lengths, length)
+            if len(lengths) > MOST_KEPT:
+                del lengths[:: MOST_KEPT // 2]
+        if not usual:
+            return
+        if length > self.policy.late * usual:
+            self._note(machine, placed, length / usual)
+        elif placed.attempt == 1 and length > usual / self.policy.late:
+            # As long as it should be: what took longer here was chance.
+            self._late.pop(machine.name, None)
+            self._clear(machine.name)
+
+    def watch(self) -> None:
+        """Finds tasks that run for too long already, and ends the rests that are over."""
+        now = self.runtime.now()
+        for name, until in list(self._slow.items()):
+            if now > until:
+                self._clear(name)
+        for job in list(self.jobs.live.values()):
+            usual = self._usual(job)
+            if not usual:
+                continue
+            for placed in list(job.placed.values()):
+                if placed.ran_at is None or placed.state != wire.RUNNING or placed.stopping_at is not None:
+                    continue
+                ratio = (now - placed.ran_at) / usual
+                machine = self.fleet.machines.get(placed.machine)
+                if ratio > self.policy.late and machine is not None:
+                    self._note(machine, placed, ratio)
+        self._lengths = {no: lengths for no, lengths in self._lengths.items() if no in self.jobs.live}
+        self._late = {name: tasks for name, tasks in self._late.items() if name in self.fleet.machines}
+
+    def _usual(self, job: Job) -> float:
+        """The middle length of the job's tasks; 0 while too few have ended to tell.
+
+        Those that ended first are the short ones: tasks that still run count as longer than these."""
+        lengths = self._lengths.get(job.no, ())
+        if len(lengths) < LEAST_ENDED:
+            return 0.0
+        ended = len(job.done_tasks)
+        middle = int(len(lengths) * (ended + len(job.placed)) / (2 * max(1, ended)))
+        return lengths[middle] if middle < len(lengths) else 0.0
+
+    def _note(self, machine: Machine, placed: Placement, ratio: float) -> None:
+        late = self._late.setdefault(machine.name, {})
+        late[placed.job.no, placed.task, placed.attempt] = ratio
+        if machine.name in self._slow or (len(late) < 2 and ratio < self.policy.very_late):
+            return
+        log.info("event=machine_slow term=%d machine=%s type=%s late=%d ratio=%.1f", self.term.number, machine.name,
+                 machine.kind, len(late), ratio)  # fmt: skip
+        self._slow[machine.name] = self.runtime.now() + self.policy.slow_rest
+        machine.slow = True
+        for other in machine.placements.values():
+            spec = other.job.spec
+            saves = spec.kind == wire.ARRAY and spec.checkpoint and other.state == wire.RUNNING
+            if saves and other.stopping_at is None:
+                self.orders.stop(other, spec.save)
+
+    def _clear(self, name: str) -> None:
+        self._slow.pop(name, None)
+        self._late.pop(name, None)
+        machine = self.fleet.machines.get(name)
+        if machine is not None:
+            machine.slow = False
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -198,7 +198,7 @@
         last = at >= self._steps()[-1]
         for machine in self.fleet.machines.values():
             kind = self.term.kinds.get(machine.kind)
-            if kind is None or machine.draining or machine.releasing:
+            if kind is None or machine.draining or machine.releasing or machine.slow:
                 continue
             asked = now - machine.rented_at
             if machine.booting and (asked > 2 * kind.boot or not (last or kind.boot - asked <= at)):
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -10,6 +10,7 @@
 from ..ledger.book import Placement
 from .jobs import Jobs
 from .orders import Orders
+from .pace import Pace
 from .term import Duty, Term
 
 log = logging.getLogger(__name__)
@@ -18,9 +19,9 @@
 class Tracker(Duty):
     """Owns the proofs: it alone says that a placement is over."""
 
-    def __init__(self, term: Term, jobs: Jobs, orders: Orders) -> None:
+    def __init__(self, term: Term, jobs: Jobs, orders: Orders, pace: Pace) -> None:
         super().__init__(term)
-        self.jobs, self.orders = jobs, orders
+        self.jobs, self.orders, self.pace = jobs, orders, pace
         self._exits: dict[tuple[str, str, int], Placement] = {}
         self._errors: dict[str, set[str]] = {}
         self._releasing_now = False
@@ -104,6 +105,7 @@
         cause, ref = task.cause, placed.job.spec.ref
         if cause == wire.CAUSE_DONE:
             machine.errors.clear()
+            self.pace.ended(machine, placed)
         elif cause == wire.CAUSE_ERROR:
             machine.errors[ref] = machine.errors.get(ref, 0) + 1
             tried = self._errors.setdefault(ref, set())
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -18,6 +18,7 @@
 from .lead.emptier import Emptier
 from .lead.jobs import Answer, Jobs
 from .lead.orders import Carrier, Orders
+from .lead.pace import Pace
 from .lead.planner import Planner
 from .lead.scheduler import Scheduler
 from .lead.term import Term
@@ -50,7 +51,8 @@
         )
         self.orders = Orders(term, self._carrier)
         self.jobs = Jobs(term, self.orders)
-        self.tracker = Tracker(term, self.jobs, self.orders)
+        self.pace = Pace(term, self.jobs, self.orders)
+        self.tracker = Tracker(term, self.jobs, self.orders, self.pace)
         self.scheduler = Scheduler(term, self.jobs, self.tracker, self.orders)
         self.planner = Planner(term, self.jobs, self.tracker)
         self.emptier = Emptier(term, self.jobs, self.tracker, self.orders, self.planner)
@@ -126,6 +128,7 @@
     def _watch(self) -> None:
         if self.term.active:
             self.tracker.watch()
+            self.pace.watch()
             self.emptier.move_on(self.runtime.now())
             self.tracker.flush_releases()
             self.scheduler.wake()
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -150,12 +150,14 @@
         Who has found some ends after `WIDEN` times as many looks; who has found none looks at all."""
         found: list[Machine] = []
         enough = self.looked + WIDEN * most
+        quick = spec.kind == wire.SERVICE
         cores, gpus, ram = spec.cores - SLACK, spec.gpus - SLACK, spec.ram - SLACK
         for machine, kind in self.walk(spec, zone_open):
             if (
                 machine.cores + cores <= kind.cores
                 and machine.gpus + gpus <= kind.gpus
                 and machine.ram + ram <= kind.ram
+                and (quick or not machine.slow)
                 and (spec.gpus or not kind.gpus or leaves_gpus_usable(spec, room(machine, kind), kind, needs))
                 and (keep is None or keep(machine))
             ):
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -32,6 +32,10 @@
     """Spare room for lanes that can't wait, as a share of their running replicas."""
     cool_down: float
     pool_rest: float
+    late: float
+    """How many times the usual length of its job's tasks is too long for one of them."""
+    very_late: float
+    slow_rest: float
     move_after: float
     move_patience: float
     move_fetch: float
@@ -68,6 +72,9 @@
         slack=0.06,
         cool_down=lease * 3,
         pool_rest=lease * 2,
+        late=1.7,
+        very_late=2.4,
+        slow_rest=lease * 12,
         move_after=lease * 4,
         move_patience=lease * 4,
         move_fetch=report * 2,
--- a/flaxtally/standin/worker.py
+++ b/flaxtally/standin/worker.py
@@ -38,6 +38,7 @@
         self.session, self._sequence, self.token = 1, 0, 0
         self.notice: float | None = None
         self.hung = False
+        self.slowness = 1.0
         self._renewed = runtime.now()
         self._images: set[str] = set()
         self._at = rng.choice(sorted(nodes))
@@ -177,7 +178,7 @@
         self._watch("start", self.machine.machine, held.task, held.attempt)
         length = self._run_time(held.task.partition("/")[0])
         if length is not None:
-            held.timer = self._runtime.after(length, self._exit, held, wire.CAUSE_DONE)
+            held.timer = self._runtime.after(length * self.slowness, self._exit, held, wire.CAUSE_DONE)
         self.changed()
 
     def _exit(self, held: Held, cause: str) -> None:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -522,3 +522,22 @@
         if name != left:
             world.crash(name)
     assert world.until(lambda: world.leader() == left, 4), world.trace[-5:]
+
+
+def test_a_machine_that_runs_its_tasks_slower_is_found_and_left_alone() -> None:
+    # Found on a quiet day: two machines of three hundred were faulty and slow; each job with a task there
+    # ended minutes after its others. What saves is moved, and new batch tasks go elsewhere.
+    world = World()
+    world.submit(batch("j-000001", 24, checkpoint=1.0, save=0.2), run_time=10.0)
+    assert world.until(lambda: world.count("j-000001") == 24, 60)
+    slow = max(world.workers.values(), key=lambda worker: len(worker.tasks))
+    slow.slowness = 8.0
+    world.submit(batch("j-000002", 24, checkpoint=1.0, save=0.2), run_time=10.0)
+    started = world.sim.time
+    assert world.until(lambda: world.ask("j-000002")[1]["stage"] == "done", 60)
+    assert world.sim.time - started < 50
+    leader = world.nodes[world.leader() or ""].leader
+    assert [name for name, machine in leader.term.fleet.machines.items() if machine.slow] == [slow.machine.machine]
+    world.submit(batch("j-000003", 12), run_time=10.0)
+    assert world.until(lambda: world.count("j-000003") == 12, 30)
+    assert not any(place[0] == slow.machine.machine for task, place in world.running.items() if "j-000003" in task)
