Command line for users and operators, a policy language with a checker, a demo on loopback

The shipped values stand in a file of the language itself; the checker names every fault with file, line and reason. Bad input exits with 2 and one clear message.

--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -1,4 +1,4 @@
-"""The command line."""
+"""The command line. Exit codes: 0 done, 1 the service refused or can't be reached, 2 bad input."""
 
 from __future__ import annotations
 
@@ -7,11 +7,18 @@
 import os
 import random
 import sys
+from pathlib import Path
+from typing import Any
 
-from . import __version__
-from .settings import SettingsError, load
+from . import __version__, policy
+from .settings import Settings, SettingsError, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+DONE, REFUSED, BAD_INPUT = 0, 1, 2
+
+
+class BadInput(Exception):
+    """What the user gave can't be used; the text says what and why."""
 
 
 def _logging() -> None:
@@ -19,46 +26,173 @@
     logging.basicConfig(stream=sys.stderr, level=level, format="%(asctime)s %(levelname)s %(name)s %(message)s")
 
 
-def _serve(arguments: argparse.Namespace) -> int:
+def _settings(arguments: argparse.Namespace) -> Settings:
     try:
-        settings = load(arguments.config)
+        return load(arguments.config)
     except SettingsError as fault:
-        print(f"flaxtally: {arguments.config}: {fault}", file=sys.stderr)
-        return 2
+        raise BadInput(f"{arguments.config}: {fault}") from None
+
+
+def _policy(arguments: argparse.Namespace, settings: Settings) -> list[policy.Setting]:
+    try:
+        return policy.explain(settings, arguments.policy)
+    except policy.PolicyError as fault:
+        raise BadInput(str(fault)) from None
+
+
+def _serve(arguments: argparse.Namespace) -> int:
+    settings = _settings(arguments)
+    _policy(arguments, settings)
     _logging()
     # Imported here so that `check` and `--help` need none of the run-time libraries.
-    from . import policy
     from .loop import Loop
     from .node import Node
 
     loop = Loop()
     try:
-        Node(loop, settings, policy.default(settings), random.Random())
+        Node(loop, settings, policy.load(settings, arguments.policy), random.Random())
     except OSError as fault:
         print(f"flaxtally: can't listen: {fault}", file=sys.stderr)
-        return 1
+        return REFUSED
     loop.run()
-    return 0
+    return DONE
 
 
 def _check(arguments: argparse.Namespace) -> int:
-    try:
-        load(arguments.config)
-    except SettingsError as fault:
-        print(f"flaxtally: {arguments.config}: {fault}", file=sys.stderr)
-        return 2
+    settings = _settings(arguments)
+    _policy(arguments, settings)
     print(f"{arguments.config}: settings are sound")
-    return 0
+    if arguments.policy is not None:
+        print(f"{arguments.policy}: policy is sound")
+    return DONE
 
 
-def main(argv: list[str] | None = None) -> int:
+def _policy_show(arguments: argparse.Namespace) -> int:
+    for setting in _policy(arguments, _settings(arguments)):
+        unit = f" {setting.unit}" if any(setting.unit) else ""
+        print(f"{setting.name} = {setting.value:g}{unit}  # {setting.text}  ({setting.source}:{setting.line})")
+    return DONE
+
+
+def _job(path: str) -> dict[str, Any]:
+    """A job's description from a JSON file, in the protocol's own words; "-" is standard input."""
+    import msgspec
+
+    try:
+        text = sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
+    except OSError as fault:
+        raise BadInput(f"{path}: {fault.strerror or fault}") from None
+    try:
+        return msgspec.json.decode(text, type=dict[str, Any])
+    except msgspec.DecodeError as fault:
+        raise BadInput(f"{path}: {fault}") from None
+
+
+def _submit(arguments: argparse.Namespace) -> int:
+    from . import wire
+
+    return _ask(arguments, "POST", wire.WORK, _job(arguments.job))
+
+
+def _status(arguments: argparse.Namespace) -> int:
+    from . import wire
+
+    return _ask(arguments, "GET", f"{wire.WORK}/{arguments.ref}", None)
+
+
+def _cancel(arguments: argparse.Namespace) -> int:
+    from . import wire
+
+    return _ask(arguments, "POST", f"{wire.WORK}/{arguments.ref}/cancel", None)
+
+
+def _ask(arguments: argparse.Namespace, method: str, path: str, body: Any) -> int:
+    """One question to a controller; its answer goes to standard output as JSON."""
+    import msgspec
+
+    from .http import Client, Reply
+    from .loop import Loop
+
+    host, colon, port = arguments.to.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise BadInput(f"--to {arguments.to}: not HOST:PORT")
+    if any(not 33 <= ord(sign) <= 126 for sign in path):
+        raise BadInput(f"{arguments.ref!r}: not a job's id")
+    loop, replies = Loop(), list[Reply]()
+
+    def told(reply: Reply) -> None:
+        replies.append(reply)
+        loop.stop()
+
+    Client(loop, (host, int(port))).request(method, path, body, arguments.timeout, told)
+    loop.run()
+    status, answer = replies[0].status, replies[0].body
+    if status == 0:
+        print(f"flaxtally: no answer from {arguments.to}", file=sys.stderr)
+        return REFUSED
+    if answer:
+        print(msgspec.json.encode(msgspec.msgpack.decode(answer)).decode())
+    if status not in (200, 201):
+        print(f"flaxtally: {arguments.to} answered {status}", file=sys.stderr)
+        return REFUSED
+    return DONE
+
+
+def _demo(arguments: argparse.Namespace) -> int:
+    from .standin.demo import run
+
+    _logging()
+    try:
+        return run(Path(arguments.folder), arguments.port)
+    except OSError as fault:
+        raise BadInput(f"{arguments.folder}: {fault}") from None
+
+
+def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="flaxtally", description="A scheduler for fleets that serve language models.")
     parser.add_argument("--version", action="version", version=f"flaxtally {__version__}")
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
-    for name, run, text in (("serve", _serve, "run a controller"), ("check", _check, "check a settings file")):
-        command = commands.add_parser(name, help=text, description=text)
-        command.add_argument("--config", required=True, metavar="FILE", help="the platform's settings (TOML)")
+
+    def add(where: Any, name: str, run: Any, text: str) -> argparse.ArgumentParser:
+        command: argparse.ArgumentParser = where.add_parser(name, help=text, description=text)
         command.set_defaults(run=run)
-    arguments = parser.parse_args(argv)
-    code: int = arguments.run(arguments)
+        return command
+
+    shown = commands.add_parser("policy", help="the operators' settings", description="the operators' settings")
+    inner = shown.add_subparsers(dest="what", required=True, metavar="COMMAND")
+    for command in (
+        add(commands, "serve", _serve, "run a controller"),
+        add(commands, "check", _check, "check a settings file, and a policy file"),
+        add(inner, "show", _policy_show, "show each setting, its value and where it came from"),
+    ):
+        command.add_argument("--config", required=True, metavar="FILE", help="the platform's settings (TOML)")
+        command.add_argument("--policy", metavar="FILE", help="the operators' settings (docs/policy.md)")
+    submit = add(commands, "submit", _submit, "submit a job")
+    submit.add_argument("job", metavar="FILE", help='the job as JSON, in the protocol\'s words; "-": standard input')
+    status = add(commands, "status", _status, "ask for a job's state")
+    cancel = add(commands, "cancel", _cancel, "cancel a job")
+    for command in (status, cancel):
+        command.add_argument("ref", metavar="ID", help="the job's id")
+    for command in (submit, status, cancel):
+        command.add_argument("--to", required=True, metavar="HOST:PORT", help="a controller")
+        command.add_argument("--timeout", type=float, default=5.0, metavar="SECONDS", help="default: 5")
+    demo = add(commands, "demo", _demo, "run stand-ins of state service, cloud and workers on loopback")
+    demo.add_argument("folder", metavar="FOLDER", help="where the settings of three controllers are written to")
+    demo.add_argument("--port", type=int, default=21000, metavar="N", help="the first of the ports; default: 21000")
+    return parser
+
+
+def main(argv: list[str] | None = None) -> int:
+    arguments = _parser().parse_args(argv)
+    try:
+        code: int = arguments.run(arguments)
+    except BadInput as fault:
+        print(f"flaxtally: {fault}", file=sys.stderr)
+        return BAD_INPUT
+    except KeyboardInterrupt:
+        return 130
+    except BrokenPipeError:
+        # Whoever read our output has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return DONE
     return code
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -1,87 +1,146 @@
-"""The operators' settings: what the platform's file leaves open, as ratios to its figures."""
+"""The operators' settings: what the platform's file leaves open, as ratios to its figures.
+
+The shipped values stand in `defaults.policy`, in the language of `language`; an operators' file in the
+same language sets some of them anew.
+"""
 
 from __future__ import annotations
 
+import dataclasses
 from dataclasses import dataclass
+from pathlib import Path
 
 from ..settings import Settings
+from .language import PLAIN, RATE, SIZE, TIME, Fault, Known, PolicyError, Statement, Unit, evaluate, parse
+
+__all__ = ["Policy", "PolicyError", "Setting", "default", "explain", "load"]
+
+DEFAULTS = Path(__file__).with_name("defaults.policy")
+LONGEST_FILE = 256 * 1024
+
+_TIME = Known(TIME, 0.001, 86400.0)
+_RATIO = Known(PLAIN, 0.0, 1000.0)
+KNOWN: dict[str, Known] = {
+    "boot_patience": Known(PLAIN, 1.0, 100.0),
+    "late": Known(PLAIN, 1.1, 100.0),
+    "very_late": Known(PLAIN, 1.1, 100.0),
+    "slack": Known(PLAIN, 0.0, 1.0),
+    "move_worth": _RATIO,
+    "pass_rest": _RATIO,
+    "sample": Known(PLAIN, 1.0, 10000.0, whole=True),
+}
 
 
 @dataclass(frozen=True)
 class Policy:
-    """Times in seconds. Each is derived from the platform's settings by `default`."""
+    """The settings' values; times in seconds. What each means is said in `defaults.policy`."""
 
     heartbeat: float
     peer_silence: float
     refused_patience: float
     leader_hold: float
     probe: float
+    mail: float
+    unattended: float
+    ask: float
     call: float
     order_call: float
-    mail: float
+    retry: float
     machine_suspect: float
     machine_silence: float
     zone_silence: float
     settle: float
-    unattended: float
     cancel_patience: float
+    boot_patience: float
+    late: float
+    very_late: float
+    slow_rest: float
     plan_step: float
     plan_horizon: float
     plan_lead: float
     slack: float
-    """Spare room for lanes that can't wait, as a share of their running replicas."""
     cool_down: float
     pool_rest: float
-    late: float
-    """How many times the usual length of its job's tasks is too long for one of them."""
-    very_late: float
-    slow_rest: float
     move_after: float
     move_patience: float
     move_fetch: float
     move_worth: float
-    """Of the fleet's mean price: the least at which a machine is emptied by moving its replicas."""
-    boot_patience: float
-    retry: float
-    ask: float
     sample: int
     pass_rest: float
-    """How many times its own length the scheduler rests after a pass: the rest is for messages."""
+
+
+for _field in dataclasses.fields(Policy):
+    KNOWN.setdefault(_field.name, _TIME)
+
+
+@dataclass(frozen=True)
+class Setting:
+    """A setting as `policy show` prints it."""
+
+    name: str
+    value: float
+    unit: Unit
+    source: str
+    line: int
+    text: str
+
+
+def _platform(settings: Settings) -> dict[str, tuple[float, Unit]]:
+    """The names of the platform's file that expressions may use."""
+    return {
+        "workers.report_s": (settings.report_s, TIME),
+        "workers.lease_s": (settings.lease_s, TIME),
+        "workers.cancel_s": (settings.cancel_s, TIME),
+        "state.rps": (settings.state_rps, RATE),
+        "state.write_rps": (settings.state_write_rps, RATE),
+        "state.value_gb": (settings.value_bytes / 2**30, SIZE),
+        "state.txn_ops": (float(settings.txn_ops), PLAIN),
+        "cloud.rps": (settings.cloud_rps, RATE),
+        "cloud.list_lag_s": (settings.list_lag_s, TIME),
+        "limits.max_sockets": (float(settings.max_sockets), PLAIN),
+        "params.nodes": (float(len(settings.peers) + 1), PLAIN),
+    }
+
+
+def _read(path: Path, name: str) -> list[Statement]:
+    try:
+        if path.stat().st_size > LONGEST_FILE:
+            raise PolicyError([Fault(name, 0, "too long for a policy file")])
+        text = path.read_text(encoding="utf-8")
+    except OSError as fault:
+        raise PolicyError([Fault(name, 0, fault.strerror or str(fault))]) from None
+    except UnicodeDecodeError:
+        raise PolicyError([Fault(name, 0, "not UTF-8 text")]) from None
+    statements = parse(text, name)
+    first: dict[str, int] = {}
+    twice = [
+        Fault(name, statement.line, f"{statement.name} was set in line {first[statement.name]} already")
+        for statement in statements
+        if first.setdefault(statement.name, statement.line) != statement.line
+    ]
+    if twice:
+        raise PolicyError(twice)
+    return statements
+
+
+def explain(settings: Settings, path: str | None = None) -> list[Setting]:
+    """Each setting's value and where it came from, or `PolicyError` with every fault."""
+    statements = {statement.name: statement for statement in _read(DEFAULTS, DEFAULTS.name)}
+    if path is not None:
+        statements |= {statement.name: statement for statement in _read(Path(path), path)}
+    values = evaluate(statements, KNOWN, _platform(settings))
+    return [
+        Setting(name, values[name], KNOWN[name].unit, statement.file, statement.line, statement.text)
+        for name, statement in statements.items()
+    ]
+
+
+def load(settings: Settings, path: str | None = None) -> Policy:
+    """The shipped values with those of an operators' file, or `PolicyError` with every fault."""
+    values = {setting.name: setting.value for setting in explain(settings, path)}
+    whole = {name for name, known in KNOWN.items() if known.whole}
+    return Policy(**{name: int(value) if name in whole else value for name, value in values.items()})  # type: ignore[arg-type]
 
 
 def default(settings: Settings) -> Policy:
-    report, lease, cancel = settings.report_s, settings.lease_s, settings.cancel_s
-    return Policy(
-        heartbeat=report / 6,
-        peer_silence=report * 2 / 3,
-        refused_patience=report,
-        leader_hold=lease * 0.4,
-        probe=report * 2 / 3,
-        call=report,
-        order_call=report * 4 / 3,
-        mail=report / 3,
-        machine_suspect=report * 2.2,
-        machine_silence=report * 4,
-        zone_silence=lease * 2.5,
-        settle=lease,
-        unattended=max(lease / 2, (cancel - lease) * 0.85),
-        cancel_patience=cancel / 2,
-        plan_step=lease / 4,
-        plan_horizon=lease * 30,
-        plan_lead=lease * 6,
-        slack=0.06,
-        cool_down=lease * 3,
-        pool_rest=lease * 2,
-        late=1.7,
-        very_late=2.4,
-        slow_rest=lease * 12,
-        move_after=lease * 4,
-        move_patience=lease * 4,
-        move_fetch=report * 2,
-        move_worth=0.25,
-        boot_patience=3.0,
-        retry=report / 3,
-        ask=report,
-        sample=24,
-        pass_rest=3.0,
-    )
+    return load(settings)
--- /dev/null
+++ b/flaxtally/standin/demo.py
@@ -0,0 +1,155 @@
+"""The stand-ins on loopback, with settings for three controllers: a service to try things on."""
+
+from __future__ import annotations
+
+import logging
+import random
+from pathlib import Path
+
+import msgspec
+
+from .. import wire
+from ..loop import Address, Loop
+from .cloud import Cloud
+from .state import StateService
+from .worker import Worker
+
+log = logging.getLogger(__name__)
+
+HOST = "127.0.0.1"
+NODES = ("hearth-0", "hearth-1", "hearth-2")
+ZONES = ("a", "b")
+CAPACITY = 3
+TYPES = [
+    wire.MachineType("c16", 16.0, 0.0, 64.0, 40.0, 2.0, 1.0, 0.4, 5.0, list(ZONES)),
+    wire.MachineType("g8", 32.0, 8.0, 256.0, 200.0, 4.0, 12.0, 4.0, 8.0, list(ZONES)),
+]
+PAGE = """\
+node_name = "{name}"
+site = "{zone}"
+listen = "{host}:{users}"
+cluster_listen = "{host}:{peers}"
+{others}
+[endpoints]
+state = "{host}:{state}"
+cloud = "{host}:{cloud}"
+
+[params]
+zones = ["a", "b"]
+
+[[params.teams]]
+name = "crew"
+cpus = 64.0
+cpus_max = 128.0
+gpus = 16.0
+gpus_max = 32.0
+
+[params.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 30.0
+
+[params.state]
+rps = 250.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 32
+
+[params.cloud]
+rps = 3.0
+list_lag_s = 1.0
+
+[params.limits]
+max_sockets = 500
+"""
+OTHER = """
+[[others]]
+node_name = "{name}"
+site = "{zone}"
+peer_addr = "{host}:{peers}"
+"""
+JOB = wire.Submission(
+    "j-000001", "gate", "crew", wire.SERVICE, "critical", 2, 2.0, 0.0, 4.0, "img-1", 1.0, False, True, False, 0.0,
+    0.0, 0.0,
+)  # fmt: skip
+
+
+def users(first: int, number: int) -> Address:
+    """Where a controller listens to users; its peers are one port higher."""
+    return HOST, first + 2 + 2 * number
+
+
+def page(first: int, number: int) -> str:
+    """The settings of one controller."""
+
+    def fill(text: str, node: int, **more: object) -> str:
+        port = users(first, node)[1]
+        return text.format(name=NODES[node], zone=ZONES[node % 2], host=HOST, users=port, peers=port + 1, **more)
+
+    others = "".join(fill(OTHER, other) for other in range(len(NODES)) if other != number)
+    return fill(PAGE, number, others=others, state=first, cloud=first + 1)
+
+
+class Demo:
+    """State service, cloud and workers on one loop; ports follow each other from the first."""
+
+    def __init__(self, loop: Loop, first: int) -> None:
+        self._loop, self._first, self._rng = loop, first, random.Random()
+        self.state = StateService(loop, (HOST, first))
+        self.cloud = Cloud(
+            loop, (HOST, first + 1), TYPES,
+            {(kind.name, zone, spot): CAPACITY for kind in TYPES for zone in ZONES for spot in (False, True)},
+            lambda count: f"{HOST}:{first + 20 + count}", self._start, self._end, self._rng,
+        )  # fmt: skip
+        self._workers: dict[str, Worker] = {}
+
+    def _start(self, machine: wire.Listed) -> None:
+        kind = next(entry for entry in TYPES if entry.name == machine.type)
+        host, _, port = str(machine.address).partition(":")
+        self._workers[machine.machine] = Worker(
+            self._loop, machine, kind, (host, int(port)), {name: users(self._first, n) for n, name in enumerate(NODES)},
+            1.5, 10.0, self.spec, self._run_time, self._watch, self._rng,
+        )  # fmt: skip
+        log.info("event=machine_up machine=%s type=%s zone=%s", machine.machine, machine.type, machine.zone)
+
+    def _end(self, name: str) -> None:
+        worker = self._workers.pop(name, None)
+        if worker is not None:
+            worker.gone()
+        log.info("event=machine_gone machine=%s", name)
+
+    def spec(self, ref: str) -> wire.Spec | None:
+        """What the workers know of a job. Users hand it to them on a way of their own, which the demo has
+        not; its workers look into the ledger instead."""
+        for key, (value, _, _) in self.state.rows.items():
+            if key.startswith("p/"):
+                for record in value["r"]:
+                    if record[0] == "J" and record[3] == ref:
+                        return msgspec.convert(record[3:], wire.Spec)
+        return None
+
+    def _run_time(self, ref: str) -> float | None:
+        spec = self.spec(ref)
+        return None if spec is None or spec.kind == wire.SERVICE else max(1.0, spec.estimate)
+
+    @staticmethod
+    def _watch(event: str, machine: str, task: str, attempt: int) -> None:
+        log.info("event=task_%s machine=%s task=%s attempt=%d", event.replace(" ", "_"), machine, task, attempt)
+
+
+def run(folder: Path, first: int) -> int:
+    """Writes the settings and a job, says what to do with them, and plays until it is stopped."""
+    folder.mkdir(parents=True, exist_ok=True)
+    loop = Loop()
+    Demo(loop, first)
+    for number, name in enumerate(NODES):
+        (folder / f"{name}.toml").write_text(page(first, number), encoding="utf-8")
+    (folder / "job.json").write_bytes(msgspec.json.format(msgspec.json.encode(JOB)) + b"\n")
+    host, port = users(first, 0)
+    print(f"stand-ins run on {host}, ports from {first}; now, each in a terminal of its own:")
+    for name in NODES:
+        print(f"  python3 -m flaxtally serve --config {folder / name}.toml")
+    print(f"  python3 -m flaxtally submit {folder / 'job.json'} --to {host}:{port}")
+    print(f"  python3 -m flaxtally status {JOB.ref} --to {host}:{port}", flush=True)
+    loop.run()
+    return 0
--- a/flaxtally/standin/worker.py
+++ b/flaxtally/standin/worker.py
@@ -37,7 +37,7 @@
         self.tasks: dict[tuple[str, int], Held] = {}
         self.session, self._sequence, self.token = 1, 0, 0
         self.notice: float | None = None
-        self.hung = False
+        self.hung = self._off = False
         self.slowness = 1.0
         self._renewed = runtime.now()
         self._images: set[str] = set()
@@ -63,6 +63,8 @@
     def _due(self, delay: float) -> None:
         if self._next is not None:
             self._next.cancel()
+        if self._off:
+            return
         self._next = self._runtime.after(delay, self._beat)
 
     def changed(self) -> None:
@@ -115,10 +117,14 @@
         for held in self.tasks.values():
             self._end(held, "gone")
         self.tasks.clear()
+        self._off = True
+        self._due(0.0)
 
     # Orders
 
     def _direct(self, request: Request) -> None:
+        if self._off:
+            return
         if self.hung:
             # The order waits in the hung machine and is executed when it goes on.
             self._runtime.after(0.5, self._direct, request)
