--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -12,14 +12,14 @@
 from . import wire
 from .fleet import Machine
 from .ledger.book import Job, Placement
-from .placement import GpuNeeds, Stock, choose, fetch_seconds
+from .placement import GpuNeeds, Stock, choose
 
 
 def pick(
     machines: Sequence[Machine], kinds: dict[str, wire.MachineType], needs: GpuNeeds, sample: int,
     rng: random.Random, zones_without: Callable[[Job, Placement], dict[str, bool]],
     settled: Callable[[Placement], bool], beside_arrays: bool, moving: Collection[Machine] = (),
-    firm: Collection[str] = (), away: float = 0.0, least: float = 0.0,
+    firm: Collection[str] = (), least: float = 0.0,
 ) -> tuple[Machine | None, list[str]]:  # fmt: skip
     """The machine whose return saves most a replica moved, if all on it fit on other used machines, or on
     idle ones that cost less than half; and the names of those that were looked at and can't be emptied.
@@ -27,7 +27,7 @@
     `beside_arrays`: also one where array tasks still run, which will take none while it is emptied.
     `moving`: machines being emptied, whose replicas find their room first. `firm`: machines to pass over.
     `least`: the price an hour from which a machine's return is worth its replicas' moves.
-    `away`: for how many seconds a replica may fetch its image."""
+    A replica moves only to a machine that holds its image."""
     candidates = [
         machine
         for machine in machines
@@ -50,7 +50,7 @@
                 spec, placed.job.no, stock, needs, sample, zones_without(placed.job, placed),
                 lambda other, spec=spec: other is not machine  # type: ignore[misc]
                 and (bool(other.placements) or 2 * hourly(other, kinds) < price)
-                and fetch_seconds(spec, other, kinds[other.kind]) <= away,
+                and spec.image in other.images,
             )  # fmt: skip
             if target is None:
                 return False
--- a/flaxtally/lead/emptier.py
+++ b/flaxtally/lead/emptier.py
@@ -55,7 +55,7 @@
             moving = [machine for name in self._moving if (machine := self.fleet.machines.get(name)) is not None]
             machine, failed = consolidate.pick(
                 self.tracker.usable(), kinds, self.jobs.needs, self.policy.sample, self.rng,
-                self._zones_without, settled, beside_arrays, moving, self._firm, self.policy.move_fetch,
+                self._zones_without, settled, beside_arrays, moving, self._firm,
                 mean * (self.policy.move_worth if not moving else 1.0),
             )  # fmt: skip
             self._firm.update(dict.fromkeys(failed, now + self.policy.settle))
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -63,7 +63,6 @@
     pool_rest: float
     move_after: float
     move_patience: float
-    move_fetch: float
     move_worth: float
     sample: int
     pass_rest: float
