No old rental requests after an outage of the cloud; machines released unseen are not waited for

(2) The leader had released two hung machines while the state service was down and ended before it could commit that; the next one waited for their silence, and then the cloud was down: their crainic replicas were away for 60 s. Change: a request is sent once at a time; one that met trouble was not executed and is dropped; in trouble one pool is asked a plan. A new leader releases at once what the ledger places tasks on, that has not reported and is not listed; the release's answer is the proof, the list proves nothing. Two tests, both seen to fail before.

--- a/flaxtally/cloud.py
+++ b/flaxtally/cloud.py
@@ -71,7 +71,8 @@
         self, request: str, kind: str, zone: str, spot: bool, count: int,
         done: Callable[[str, list[str]], None],
     ) -> None:  # fmt: skip
-        """`done(outcome, machines)` with outcome `rented`, `none` (no capacity) or `unknown`."""
+        """`done(outcome, machines)` with outcome `rented`, `none` (no capacity), `trouble` (not executed) or
+        `unknown` (no answer: it may have been, or may still be)."""
 
         def told(reply: Reply) -> None:
             machines = self._read(reply, _rented, "machines")
@@ -80,6 +81,8 @@
             elif reply.status == 503 and b"capacity" in reply.body:
                 self.contact = self._runtime.now()
                 done("none", [])
+            elif reply.status in (429, 503):
+                done("trouble", [])
             else:
                 done("unknown", [])
 
@@ -114,6 +117,11 @@
 
         ask(None)
 
+    @property
+    def troubled(self) -> bool:
+        """Whether its last answer was none, or of no use."""
+        return self.troubled_at > self.contact
+
     def forget(self) -> None:
         """Drops what still waits to be called; for a leader that is one no more."""
         self._waiting.clear()
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -42,6 +42,8 @@
         self._resting: dict[Pool, float] = {}
         self._refusals: dict[Pool, int] = {}
         self._replanning = False
+        self._asking: set[str] = set()
+        """Requests whose answer has not come yet; none is sent twice at a time."""
         self._running: dict[str, int] = {}
 
     def learn_kinds(self) -> None:
@@ -87,7 +89,8 @@
         wanted: dict[Pool, list[fill.Rent]] = {}
         for rent in rents:
             wanted.setdefault(rent.pool, []).append(rent)
-        for pool, group in list(wanted.items())[: max(1, int(self.settings.cloud_rps * policy.plan_step))]:
+        calls = 1 if self.cloud.troubled else max(1, int(self.settings.cloud_rps * policy.plan_step))
+        for pool, group in list(wanted.items())[:calls]:
             self._rent(pool, min(len(group), MOST_RENTED), group[0])
         self._give_back(now, demands)
         return True
@@ -233,13 +236,19 @@
         self._hire(request)
 
     def _hire(self, request: str) -> None:
+        if request in self._asking:
+            return
         pool, count, _ = self._pending_hires[request]
+        self._asking.add(request)
 
         def told(outcome: str, machines: list[str]) -> None:
-            if not self.term.active:
+            self._asking.discard(request)
+            if not self.term.active or outcome == "unknown":
                 return
             now = self.runtime.now()
-            if outcome == "unknown":
+            if outcome == "trouble":
+                # It was not executed, and the next plan knows better what is needed by then.
+                self._pending_hires.pop(request, None)
                 return
             asked = self._pending_hires.pop(request, None)
             for name in machines:
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -280,6 +280,15 @@
         self._exits = {key: placed for key, placed in self._exits.items() if key[0] != name}
         self.term.kick()
 
+    def _unlisted(self, listed: set[str]) -> None:
+        """Machines that the ledger places tasks on, that no report of this term came from, and that the cloud no
+        longer lists: an earlier leader released them and could not commit it. The list proves nothing; the
+        release's answer will."""
+        for machine in self.fleet.machines.values():
+            silent = not machine.baseline and not machine.kind and not machine.releasing
+            if silent and machine.placements and machine.name not in listed:
+                self.release(machine, "placed on by an earlier leader, silent and not listed")
+
     def list_machines(self) -> None:
         """Asks the cloud for its list, which lags: it finds machines, and never proves one gone."""
 
@@ -287,6 +296,7 @@
             if listed is None or not self.term.active:
                 return
             now = self.runtime.now()
+            self._unlisted({entry.machine for entry in listed})
             for entry in listed:
                 if entry.machine in self.fleet.gone:
                     continue
--- a/flaxtally/standin/cloud.py
+++ b/flaxtally/standin/cloud.py
@@ -27,11 +27,15 @@
         self._answers: dict[str, list[str]] = {}
         self.down = False
         self.boots_fail = False
+        self.asked: list[str] = []
+        """The rental requests that came, in order, repeats too."""
         self._count = 0
         Server(runtime, address, self._handle, 1000, 600.0, 1.0)
 
     def _handle(self, request: Request) -> None:
         path = request.path.partition("?")[0]
+        if path == wire.RENTALS and request.method == "POST":
+            self.asked.append(msgspec.msgpack.decode(request.body, type=wire.Rental).request)
         if self.down:
             request.reply(503, {"error": "trouble"})
         elif path == wire.CATALOG:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -559,3 +559,34 @@
     assert [job.spec.ref for job in order] == ["j-000002", "j-000001", "j-000003"]
     order = sorted(jobs, key=lambda job: leader.jobs.urgency(job, began + 20.0))
     assert [job.spec.ref for job in order] == ["j-000002", "j-000003", "j-000001"]
+
+
+def test_after_an_outage_of_the_cloud_no_old_rental_requests_are_worked_off() -> None:
+    # Found on a rough day: during an outage each plan's requests were kept and sent again and again. When it
+    # was over they took up all calls for 38 s, and what was needed by then had to wait.
+    world = World()
+    world.run(2)
+    world.cloud.down = True
+    world.submit(spec("j-000001", tasks=2))
+    world.run(30)
+    assert len(world.cloud.asked) == len(set(world.cloud.asked)) <= 30 / 2.5 + 8
+    world.cloud.down = False
+    before = len(world.cloud.asked)
+    assert world.until(lambda: world.count("j-000001") == 2, 25)
+    assert len(world.cloud.asked) - before <= 4
+    assert len(world.cloud.machines) <= 3
+
+
+def test_a_machine_that_an_earlier_leader_released_unseen_is_not_waited_for() -> None:
+    # Found on a rough day: the leader had released two hung machines while the state service was down, and ended
+    # before it could commit that. The next one waited for their silence, until the cloud was down in turn.
+    world = serving()
+    lost = world.machine_of("j-000000/0")
+    for name in NODES:
+        world.crash(name, back_after=4.0)
+    world.cloud.take(lost)
+    assert world.until(lambda: world.leader() is not None, 8)
+    world.run(2.5)
+    leader = world.nodes[world.leader() or ""].leader
+    assert lost in leader.term.fleet.gone
+    assert lost not in leader.book.on_machine
