Reading: twins made one, work done twice done once, dead code gone; no behaviour changes

Zones that a job's placements leave open are asked for in one place (the emptier had its own copy); HOST:PORT is read in one place; 'the cloud is in trouble' too. A controller's start reads and checks the policy once, not twice; the plan's demand is handed on to the emptying instead of being made anew, and rooms are copied instead of gathered again for each idle machine; replicas are listed once a machine. Gone: scarcest, up_at, a ratio that nobody read, a constant that stood beside its own literal.

--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from . import __version__, policy
-from .settings import Settings, SettingsError, load
+from .settings import Settings, SettingsError, address, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 DONE, REFUSED, BAD_INPUT = 0, 1, 2
@@ -42,7 +42,7 @@
 
 def _serve(arguments: argparse.Namespace) -> int:
     settings = _settings(arguments)
-    _policy(arguments, settings)
+    ratios = policy.build(_policy(arguments, settings))
     _logging()
     # Imported here so that `check` and `--help` need none of the run-time libraries.
     from .loop import Loop
@@ -50,7 +50,7 @@
 
     loop = Loop()
     try:
-        Node(loop, settings, policy.load(settings, arguments.policy), random.Random())
+        Node(loop, settings, ratios, random.Random())
     except OSError as fault:
         print(f"flaxtally: can't listen: {fault}", file=sys.stderr)
         return REFUSED
@@ -113,8 +113,8 @@
     from .http import Client, Reply
     from .loop import Loop
 
-    host, colon, port = arguments.to.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+    controller = address(arguments.to)
+    if controller is None:
         raise BadInput(f"--to {arguments.to}: not HOST:PORT")
     if any(not 33 <= ord(sign) <= 126 for sign in path):
         raise BadInput(f"{arguments.ref!r}: not a job's id")
@@ -124,7 +124,7 @@
         replies.append(reply)
         loop.stop()
 
-    Client(loop, (host, int(port))).request(method, path, body, arguments.timeout, told)
+    Client(loop, controller).request(method, path, body, arguments.timeout, told)
     loop.run()
     status, answer = replies[0].status, replies[0].body
     if status == 0:
--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -28,14 +28,15 @@
     `moving`: machines being emptied, whose replicas find their room first. `firm`: machines to pass over.
     `least`: the price an hour from which a machine's return is worth its replicas' moves.
     A replica moves only to a machine that holds its image."""
-    candidates = [
-        machine
-        for machine in machines
-        if machine.name not in firm and hourly(machine, kinds) >= least
-        and _replicas(machine) and all(settled(placed) for placed in _replicas(machine))
-        and (beside_arrays or len(_replicas(machine)) == len(machine.placements))
-    ]  # fmt: skip
-    candidates.sort(key=lambda machine: -hourly(machine, kinds) / len(_replicas(machine)))
+    candidates: list[tuple[float, Machine]] = []
+    for machine in machines:
+        if machine.name in firm or hourly(machine, kinds) < least:
+            continue
+        replicas = _replicas(machine)
+        alone = len(replicas) == len(machine.placements)
+        if replicas and all(settled(placed) for placed in replicas) and (beside_arrays or alone):
+            candidates.append((hourly(machine, kinds) / len(replicas), machine))
+    candidates.sort(key=lambda entry: -entry[0])
     failed: list[str] = []
     if not candidates:
         return None, failed
@@ -62,7 +63,7 @@
         if not all(fits(machine) for machine in moving):
             return None, failed
         held = len(claimed)
-        for machine in candidates[: max(1, sample // 4)]:
+        for _, machine in candidates[: max(1, sample // 4)]:
             if fits(machine):
                 return machine, failed
             failed.append(machine.name)
--- a/flaxtally/fleet.py
+++ b/flaxtally/fleet.py
@@ -14,7 +14,7 @@
     __slots__ = (
         "address", "baseline", "booting", "cores", "draining", "errors", "failed_probes", "gpus", "heard_at",
         "idle_since", "images", "kind", "name", "notice_until", "orders_failed", "placements", "probing", "ram",
-        "release_tried", "releasing", "rented_at", "sequence", "server", "session", "slow", "spot", "up_at", "zone",
+        "release_tried", "releasing", "rented_at", "sequence", "server", "session", "slow", "spot", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str, kind: str, zone: str, spot: bool, now: float) -> None:
@@ -25,7 +25,6 @@
         self.baseline = False
         self.session = self.sequence = 0
         self.heard_at = self.rented_at = now
-        self.up_at = now
         self.idle_since = now
         self.notice_until: float | None = None
         self.draining = False
--- a/flaxtally/lead/emptier.py
+++ b/flaxtally/lead/emptier.py
@@ -5,7 +5,8 @@
 import logging
 
 from .. import consolidate, wire
-from ..ledger.book import Job, Placement
+from ..fill import Demand
+from ..ledger.book import Placement
 from .jobs import Jobs
 from .orders import Orders
 from .planner import Planner
@@ -26,7 +27,7 @@
         self._firm: dict[str, float] = {}
         """Machines that could not be emptied, until when they are passed over."""
 
-    def consolidate(self, now: float) -> None:
+    def consolidate(self, now: float, demands: list[Demand]) -> None:
         """Begins to empty machines, when all is calm; `move_on` moves their replicas one at a time."""
         most = max(1, self._few())
         calm = (
@@ -34,7 +35,7 @@
             and now - self.term.began > self.policy.settle
             and self._in_touch(now)
             and not any(
-                job.waiting and wire.RANKS[job.spec.rank] < wire.RANKS["standard"] for job in self.jobs.queue()
+                job.waiting and wire.RANKS[job.spec.rank] < wire.RANKS["standard"] for job in self.jobs.live.values()
             )
         )
         if not calm:
@@ -47,7 +48,6 @@
 
         self._firm = {name: until for name, until in self._firm.items() if until > now}
         beside_arrays = not any(job.waiting for job in self.jobs.live.values())
-        demands = self.planner.demands(now)
         kinds = self.term.kinds
         known = [machine for machine in self.fleet.machines.values() if machine.kind in kinds]
         mean = sum(consolidate.hourly(machine, kinds) for machine in known) / max(1, len(known))
@@ -55,7 +55,7 @@
             moving = [machine for name in self._moving if (machine := self.fleet.machines.get(name)) is not None]
             machine, failed = consolidate.pick(
                 self.tracker.usable(), kinds, self.jobs.needs, self.policy.sample, self.rng,
-                self._zones_without, settled, beside_arrays, moving, self._firm,
+                self.jobs.zones_open, settled, beside_arrays, moving, self._firm,
                 mean * (self.policy.move_worth if not moving else 1.0),
             )  # fmt: skip
             self._firm.update(dict.fromkeys(failed, now + self.policy.settle))
@@ -69,15 +69,6 @@
             self._moving[machine.name] = now
             machine.draining = True
 
-    def _zones_without(self, job: Job, placed: Placement) -> dict[str, bool]:
-        if job.spec.one_zone:
-            return {zone: zone == placed.zone for zone in self.fleet.zones}
-        if not job.spec.spread:
-            return {}
-        return {
-            zone: job.zone_count(zone) - (zone == placed.zone) < job.spec.zone_share for zone in self.fleet.zones
-        }  # fmt: skip
-
     def _few(self) -> int:
         """How many machines may be silent or emptied at a time in a fleet of this size."""
         return len(self.fleet.machines) // (2 * self.policy.sample)
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -55,7 +55,7 @@
         """Accepts, or says why not; each answer follows a commit or a confirmed leadership."""
         ref = spec.ref
         if ref in self.ledger.book.finals or ref in self.ledger.book.by_ref:
-            self._status(ref, answer)
+            self.poll(ref, answer)
             return
         if not self.term.kinds or self.ledger.backlog > MOST_BACKLOG:
             answer(503, None)
@@ -95,9 +95,7 @@
         return "more than the team's limit" if over else None
 
     def poll(self, ref: str, answer: Answer) -> None:
-        self._status(ref, answer)
-
-    def _status(self, ref: str, answer: Answer) -> None:
+        """A job's state: a final one at once, any other after leadership is confirmed."""
         job = self.ledger.book.by_ref.get(ref)
         if job is None and ref in self.ledger.book.finals:
             answer(200, wire.job_status(ref, self.ledger.book.finals[ref]))
@@ -138,7 +136,7 @@
     def cancel(self, ref: str, answer: Answer) -> None:
         job = self.ledger.book.by_ref.get(ref)
         if job is None or job.told or not job.committed:
-            self._status(ref, answer)
+            self.poll(ref, answer)
             return
         if job.done or job.cancelled:
             # Its end is being committed.
@@ -167,7 +165,7 @@
             machine is not None
             and now - machine.heard_at > self.policy.machine_silence
             and now - self.cloud.troubled_at < self.policy.settle
-            and self.cloud.troubled_at > self.cloud.contact
+            and self.cloud.troubled
         )
 
     def _stop_cancelled(self, job: Job) -> None:
@@ -221,6 +219,19 @@
             lost += 1
         return lost, 0.0
 
+    def zones_open(self, job: Job, leaving: Placement | None = None) -> dict[str, bool]:
+        """Zones that the job's placements, but for one that leaves, keep open; those not named are open."""
+        spec = job.spec
+        if spec.one_zone and job.placed:
+            taken = {placed.zone for placed in job.placed.values()}
+            return {zone: taken == {zone} for zone in self.fleet.zones}
+        if spec.spread:
+            left = leaving.zone if leaving else None
+            return {
+                zone: False for zone in self.fleet.zones if job.zone_count(zone) - (zone == left) >= spec.zone_share
+            }
+        return {}
+
     def within_limit(self, spec: wire.Spec, count: int = 1) -> bool:
         team, usage = self.settings.teams.get(spec.team), self.ledger.book.usage.get(spec.team)
         if team is None:
--- a/flaxtally/lead/orders.py
+++ b/flaxtally/lead/orders.py
@@ -76,8 +76,8 @@
                 for order, placed in entries
                 if placed is None or placed.job.placed.get(placed.task) is placed
             ]
-            for start in range(0, len(entries), 200):
-                part = entries[start : start + 200]
+            for start in range(0, len(entries), MOST_ORDERS):
+                part = entries[start : start + MOST_ORDERS]
                 self._carry(machine, [order for order, _ in part], [placed for _, placed in part if placed])
 
     def _carry(self, machine: Machine, orders: list[dict[str, Any]], launched: list[Placement]) -> None:
--- a/flaxtally/lead/pace.py
+++ b/flaxtally/lead/pace.py
@@ -32,7 +32,7 @@
         super().__init__(term)
         self.jobs, self.orders = jobs, orders
         self._lengths: dict[int, list[float]] = {}
-        self._late: dict[str, dict[Task, float]] = {}
+        self._late: dict[str, set[Task]] = {}
         self._slow: dict[str, float] = {}
 
     def ended(self, machine: Machine, placed: Placement) -> None:
@@ -52,7 +52,6 @@
             self._note(machine, placed, length / usual)
         elif placed.attempt == 1 and length > usual / self.policy.late:
             # As long as it should be: what took longer here was chance.
-            self._late.pop(machine.name, None)
             self._clear(machine.name)
 
     def watch(self) -> None:
@@ -87,8 +86,8 @@
         return lengths[middle] if middle < len(lengths) else 0.0
 
     def _note(self, machine: Machine, placed: Placement, ratio: float) -> None:
-        late = self._late.setdefault(machine.name, {})
-        late[placed.job.no, placed.task, placed.attempt] = ratio
+        late = self._late.setdefault(machine.name, set())
+        late.add((placed.job.no, placed.task, placed.attempt))
         if machine.name in self._slow or (len(late) < 2 and ratio < self.policy.very_late):
             return
         log.info("event=machine_slow term=%d machine=%s type=%s late=%d ratio=%.1f", self.term.number, machine.name,
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -63,20 +63,20 @@
 
         self.cloud.catalog(told)
 
-    def plan(self) -> bool:
-        """Rents and gives back; False while that has to wait."""
+    def plan(self) -> list[Demand] | None:
+        """Rents and gives back; the demand that it planned for, None while that has to wait."""
         if not self.term.kinds:
-            return False
+            return None
         now, policy = self.runtime.now(), self.policy
         if now - self.term.began < policy.settle / 4 and self.ledger.book.jobs and self.fleet.machines:
-            return False
+            return None
         self.ledger.clean()
         self._turns += 1
         if self._turns % 10 == 0:
             self._log_fleet(now)
         self._retry_hires(now)
         self._resting = {pool: until for pool, until in self._resting.items() if until > now}
-        demands = self.demands(now)
+        demands = self._demands(now)
         steps = []
         for at in self._steps():
             steps.append((at, [self._at(demand, at, now) for demand in demands], self._rooms(now, at)))
@@ -93,7 +93,7 @@
         for pool, group in list(wanted.items())[:calls]:
             self._rent(pool, min(len(group), MOST_RENTED), group[0])
         self._give_back(now, demands)
-        return True
+        return demands
 
     def _log_fleet(self, now: float) -> None:
         """One line a while: how much of what is paid for is used, by type and kind."""
@@ -118,7 +118,7 @@
                 waiting[job.spec.lane] = waiting.get(job.spec.lane, 0) + job.waiting
         log.info("event=fleet term=%d %s waiting=%s", self.term.number, text, waiting)
 
-    def demands(self, now: float) -> list[Demand]:
+    def _demands(self, now: float) -> list[Demand]:
         """Waiting tasks by shape, in the order in which they would be placed."""
         counts: dict[Shape, Demand] = {}
         self._running = {}
@@ -245,12 +245,10 @@
             self._asking.discard(request)
             if not self.term.active or outcome == "unknown":
                 return
-            now = self.runtime.now()
+            now, asked = self.runtime.now(), self._pending_hires.pop(request, None)
             if outcome == "trouble":
                 # It was not executed, and the next plan knows better what is needed by then.
-                self._pending_hires.pop(request, None)
                 return
-            asked = self._pending_hires.pop(request, None)
             for name in machines:
                 if name not in self.fleet.gone:
                     machine = self.fleet.adopt(name, pool.kind, pool.zone, pool.spot)
@@ -311,7 +309,8 @@
     def _enough(self, at: float, demands: list[Demand], now: float, without: str) -> bool:
         """Whether the demand that the rooms can hold is held just as well without this machine."""
         rooms = self._rooms(now, at)
-        fewer = [room for room in self._rooms(now, at) if room.name != without]
+        # Packing uses rooms up: each of the two has its own.
+        fewer = [replace(room) for room in rooms if room.name != without]
         return all(
             fill.pack(replace(demand, caps=dict(demand.caps) if demand.caps else None), rooms, self.jobs.needs)
             == fill.pack(demand, fewer, self.jobs.needs)
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -60,7 +60,7 @@
             rank = wire.RANKS[spec.rank]
             keep = self._unclaimed_by(rank) if self._reserved else None
             while job.waiting and self.jobs.within_limit(spec):
-                zones = self._zones_open(job)
+                zones = self.jobs.zones_open(job)
                 shut = frozenset(zone for zone, is_open in zones.items() if not is_open)
                 chosen = None
                 if (shape, shut) not in full:
@@ -209,16 +209,6 @@
             self._kick_later()
         self.jobs.backoff = {no: until for no, until in held.items() if until > now - self.policy.settle}
 
-    def _zones_open(self, job: Job) -> dict[str, bool]:
-        """Zones that the job's other placements leave open; those not named are open."""
-        spec = job.spec
-        if spec.one_zone and job.placed:
-            taken = {placed.zone for placed in job.placed.values()}
-            return {zone: zone in taken and len(taken) == 1 for zone in self.fleet.zones}
-        if spec.spread:
-            return {zone: False for zone in self.fleet.zones if job.zone_count(zone) >= spec.zone_share}
-        return {}
-
     def _place(self, job: Job, machine: Machine) -> None:
         task = job.next_task()
         attempt = job.attempts.get(task, 0) + 1
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -42,7 +42,7 @@
             return
         if machine.booting:
             machine.booting = False
-            machine.up_at = machine.idle_since = now
+            machine.idle_since = now
             log.info("event=machine_up term=%d machine=%s type=%s zone=%s spot=%s after=%.1f", self.term.number,
                      machine.name, machine.kind, machine.zone, machine.spot, now - machine.rented_at)  # fmt: skip
             self.term.kick()
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -134,8 +134,9 @@
             self.scheduler.wake()
 
     def _plan(self) -> None:
-        if self.term.active and self.planner.plan():
-            self.emptier.consolidate(self.runtime.now())
+        demands = self.planner.plan() if self.term.active else None
+        if demands is not None:
+            self.emptier.consolidate(self.runtime.now(), demands)
 
     def _list(self) -> None:
         if self.term.active:
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -75,12 +75,6 @@
     )  # fmt: skip
 
 
-def scarcest(spec: wire.Spec, kind: wire.MachineType) -> float:
-    """The share of a machine that a task takes, by its scarcest resource."""
-    share = max(spec.cores / kind.cores if kind.cores else 0.0, spec.ram / kind.ram if kind.ram else 0.0)
-    return max(share, spec.gpus / kind.gpus) if kind.gpus else share
-
-
 def fetch_seconds(spec: wire.Spec, machine: Machine, kind: wire.MachineType) -> float:
     """About how long the image takes to be there; fetches at the same time share the rate."""
     if spec.image in machine.images:
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -13,7 +13,7 @@
 from ..settings import Settings
 from .language import PLAIN, RATE, SIZE, TIME, Fault, Known, PolicyError, Statement, Unit, evaluate, parse
 
-__all__ = ["Policy", "PolicyError", "Setting", "default", "explain", "load"]
+__all__ = ["Policy", "PolicyError", "Setting", "build", "default", "explain", "load"]
 
 DEFAULTS = Path(__file__).with_name("defaults.policy")
 LONGEST_FILE = 256 * 1024
@@ -134,11 +134,15 @@
     ]
 
 
+def build(explained: list[Setting]) -> Policy:
+    """The policy of settings that were explained."""
+    values = {setting.name: setting.value for setting in explained}
+    return Policy(**{name: int(value) if KNOWN[name].whole else value for name, value in values.items()})  # type: ignore[arg-type]
+
+
 def load(settings: Settings, path: str | None = None) -> Policy:
     """The shipped values with those of an operators' file, or `PolicyError` with every fault."""
-    values = {setting.name: setting.value for setting in explain(settings, path)}
-    whole = {name for name, known in KNOWN.items() if known.whole}
-    return Policy(**{name: int(value) if name in whole else value for name, value in values.items()})  # type: ignore[arg-type]
+    return build(explain(settings, path))
 
 
 def default(settings: Settings) -> Policy:
--- a/flaxtally/settings.py
+++ b/flaxtally/settings.py
@@ -62,6 +62,14 @@
     max_sockets: int
 
 
+def address(text: str) -> Address | None:
+    """HOST:PORT, or None if the text is not that."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return None
+    return host, int(port)
+
+
 class _Table:
     """A table of the file, asked by field, with errors that name the field in full."""
 
@@ -95,10 +103,10 @@
         return float(value)
 
     def address(self, field: str) -> Address:
-        host, colon, port = self.text(field).rpartition(":")
-        if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        found = address(self.text(field))
+        if found is None:
             raise SettingsError(f"{self._name(field)}: not HOST:PORT")
-        return host, int(port)
+        return found
 
     def table(self, field: str) -> _Table:
         return _Table(self._get(field), self._name(field))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -79,31 +79,8 @@
     assert all(fault.line >= 1 and fault.reason for fault in found)
 
 
-PAGE = """
-node_name = "hearth-0"
-site = "a"
-listen = "127.0.0.1:21002"
-cluster_listen = "127.0.0.1:21003"
-[endpoints]
-state = "127.0.0.1:21000"
-cloud = "127.0.0.1:21001"
-[params]
-zones = ["a"]
-[params.workers]
-report_s = 2.0
-lease_s = 12.0
-cancel_s = 42.0
-[params.state]
-rps = 250.0
-write_rps = 20.0
-value_kb = 8.0
-txn_ops = 12
-[params.cloud]
-rps = 3.0
-list_lag_s = 5.0
-[params.limits]
-max_sockets = 800
-"""
+PAGE = demo.page(21000, 0).replace("report_s = 1.5", "report_s = 2.0").replace(
+    "lease_s = 10.0", "lease_s = 12.0").replace("cancel_s = 30.0", "cancel_s = 42.0")  # fmt: skip
 
 
 @pytest.fixture
