Passes look only where room grew; jobs that wait are kept apart

Change: who found no room looks again only at machines that have more of it, sizes that found none answer for the larger ones of their like, who found nobody to stop waits half a retry; waiting jobs are kept apart, guarantees are counted twice a retry.

--- a/flaxtally/lead/emptier.py
+++ b/flaxtally/lead/emptier.py
@@ -35,7 +35,7 @@
             and now - self.term.began > self.policy.settle
             and self._in_touch(now)
             and not any(
-                job.waiting and wire.RANKS[job.spec.rank] < wire.RANKS["standard"] for job in self.jobs.live.values()
+                wire.RANKS[job.spec.rank] < wire.RANKS["standard"] for job in self.jobs.waiting()
             )
         )
         if not calm:
@@ -47,7 +47,7 @@
                 now - placed.ran_at > self.policy.move_after)  # fmt: skip
 
         self._firm = {name: until for name, until in self._firm.items() if until > now}
-        beside_arrays = not any(job.waiting for job in self.jobs.live.values())
+        beside_arrays = not self.jobs.waiting()
         kinds = self.term.kinds
         known = [machine for machine in self.fleet.machines.values() if machine.kind in kinds]
         mean = sum(consolidate.hourly(machine, kinds) for machine in known) / max(1, len(known))
@@ -83,7 +83,7 @@
     def move_on(self, now: float) -> None:
         """Moves the next replica of each machine, once the last one is placed and while all is in touch."""
         waiting = not self._in_touch(now) or any(
-            job.waiting and job.spec.kind == wire.SERVICE for job in self.jobs.live.values()
+            job.spec.kind == wire.SERVICE for job in self.jobs.waiting()
         )  # fmt: skip
         for name, since in list(self._moving.items()):
             machine = self.fleet.machines.get(name)
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -31,7 +31,12 @@
         self.specs: dict[Shape, wire.Spec] = {}
         self.needs = placement.GpuNeeds()
         self.beyond: set[int] = set()
-        """Jobs that reach beyond their team's guarantee, as of the last queue."""
+        """Jobs that reach beyond their team's guarantee, as of the last count."""
+        self._waiting: dict[int, Job] = {}
+        """Jobs that may have waiting tasks. A pass over all live jobs cost more than what it was for."""
+        self._claims: dict[str, tuple[float, float]] = {}
+        """What each team's unfinished jobs take together, as of the last count."""
+        self._counted_at = float("-inf")
         self.backoff: dict[int, float] = {}
         self._finish_within: dict[str, list[float]] = {}
         self._late_times: dict[str, list[float]] = {}
@@ -47,6 +52,7 @@
         for job in self.ledger.book.jobs.values():
             if not job.final or job.placed:
                 self.live[job.no] = job
+                self._waiting[job.no] = job
                 self.note_spec(job.spec)
             if job.cancelled:
                 job.cancelled_at = now
@@ -76,6 +82,8 @@
         job = self.ledger.book.jobs[no]
         job.known_at = now
         self.live[no] = job
+        self._waiting[no] = job
+        self._claim(job)
         self.note_spec(spec)
         self.arrivals.note(spec.lane, spec.tasks, now)
         self.term.kick()
@@ -178,30 +186,49 @@
         if spec.gpus:
             self.needs = placement.gpu_needs(self.specs.values())
 
+    def waits_again(self, job: Job) -> None:
+        """A task of the job is to be placed anew."""
+        self._waiting[job.no] = job
+
+    def waiting(self) -> list[Job]:
+        """The jobs with waiting tasks, in no order."""
+        over = [no for no, job in self._waiting.items() if not job.waiting]
+        for no in over:
+            del self._waiting[no]
+        return list(self._waiting.values())
+
     def queue(self) -> list[Job]:
         """Jobs with waiting tasks: by rank, those within their team's guarantee first, then those that
         can still be in time, the most pressing of them first, then by age."""
-        used: dict[str, tuple[float, float]] = {}
-        waiting: list[tuple[tuple[int, bool, int, float, int], Job]] = []
+        waiting = self.waiting()
+        if not waiting:
+            return waiting
+        if self.runtime.now() - self._counted_at > self.policy.retry / 2:
+            self._count_claims()
         wall = self.runtime.wall()
-        self.beyond = set()
+        keyed = [
+            ((wire.RANKS[job.spec.rank], job.no in self.beyond, *self.urgency(job, wall), job.no), job)
+            for job in waiting
+        ]
+        keyed.sort(key=lambda entry: entry[0])
+        return [job for _, job in keyed]
+
+    def _count_claims(self) -> None:
+        """Counts anew who reaches beyond a guarantee; in between only new jobs are added."""
+        self._counted_at = self.runtime.now()
+        self._claims, self.beyond = {}, set()
         for job in self.live.values():
-            if job.final:
-                continue
-            spec = job.spec
-            cores, gpus = used.get(spec.team, (0.0, 0.0))
-            left = spec.tasks - len(job.done_tasks)
-            cores, gpus = cores + spec.cores * left, gpus + spec.gpus * left
-            used[spec.team] = cores, gpus
-            team = self.settings.teams.get(spec.team)
-            beyond = team is None or (bool(team.cores) and cores > team.cores) or (
-                bool(team.gpus) and gpus > team.gpus)  # fmt: skip
-            if beyond:
-                self.beyond.add(job.no)
-            if job.waiting:
-                waiting.append(((wire.RANKS[spec.rank], beyond, *self.urgency(job, wall), job.no), job))
-        waiting.sort(key=lambda entry: entry[0])
-        return [job for _, job in waiting]
+            if not job.final:
+                self._claim(job)
+
+    def _claim(self, job: Job) -> None:
+        spec = job.spec
+        cores, gpus = self._claims.get(spec.team, (0.0, 0.0))
+        left = spec.tasks - len(job.done_tasks)
+        self._claims[spec.team] = cores, gpus = cores + spec.cores * left, gpus + spec.gpus * left
+        team = self.settings.teams.get(spec.team)
+        if team is None or (team.cores and cores > team.cores) or (team.gpus and gpus > team.gpus):
+            self.beyond.add(job.no)
 
     def urgency(self, job: Job, wall: float) -> tuple[int, float]:
         """How many of the job's due times are past saving, and when it must start for the next one."""
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -113,9 +113,8 @@
             for name, (n, boot, idle, used, pinned) in sorted(groups.items())
         )  # fmt: skip
         waiting: dict[str, int] = {}
-        for job in self.jobs.live.values():
-            if job.waiting:
-                waiting[job.spec.lane] = waiting.get(job.spec.lane, 0) + job.waiting
+        for job in self.jobs.waiting():
+            waiting[job.spec.lane] = waiting.get(job.spec.lane, 0) + job.waiting
         log.info("event=fleet term=%d %s waiting=%s", self.term.number, text, waiting)
 
     def _demands(self, now: float) -> list[Demand]:
@@ -145,7 +144,7 @@
                 count = min(count, int(gpus / spec.gpus + placement.SLACK))
             count = max(0, count)
             headroom[spec.team] = cores - count * spec.cores, gpus - count * spec.gpus
-            shape = Shape.of(spec)
+            shape = job.shape
             demand = counts.get(shape)
             if demand is None:
                 demand = counts[shape] = Demand(shape, 0.0, self._run_length(spec))
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+import operator
+from collections.abc import Callable, Hashable
 
 from .. import placement, wire
 from ..fleet import Machine
-from ..forecast import Shape
 from ..ledger.book import Job, Placement
 from .jobs import MOST_BACKLOG, Jobs
 from .orders import Orders
@@ -16,6 +16,8 @@
 
 log = logging.getLogger(__name__)
 
+NO_ZONES: frozenset[str] = frozenset()
+
 
 class Scheduler(Duty):
     """Owns the passes over the queue and the claims on room that preemptions make."""
@@ -29,6 +31,13 @@
         self._next_pass = 0.0
         self._reserved: dict[str, dict[tuple[int, int], tuple[int, float, wire.Spec]]] = {}
         self._preempted: dict[tuple[int, int], float] = {}
+        self._full = placement.Exhausted()
+        """Who found no room in the passes up to now; only where there is more now they look again."""
+        self._last_room: dict[str, tuple[float, float, float, bool]] = {}
+        self._rules: Hashable = None
+        self._nobody = placement.Exhausted()
+        """Who found nobody to stop, until `_nobody_until`."""
+        self._nobody_until = 0.0
         term.kick = self.kick
 
     def kick(self) -> None:
@@ -44,16 +53,27 @@
             self._kick_later()
             return
         now = self.runtime.now()
-        stock = placement.Stock(self.tracker.usable(), self.term.kinds, self.rng)
-        self._expire_claims(now)
+        queue = self.jobs.queue()
+        if queue:
+            self._pass(queue, now)
+        ended = self.runtime.now()
+        self._next_pass = ended + max(self.policy.pass_rest * (ended - now), self.policy.heartbeat / 16)
+
+    def _pass(self, queue: list[Job], now: float) -> None:
+        """One look at all that waits. Who found no room in an earlier pass looks only where there is more now."""
+        usable = self.tracker.usable()
+        stock = placement.Stock(usable, self.term.kinds, self.rng)
+        more = self._grown(usable, self._expire_claims(now))
+        grown = placement.Stock(more, self.term.kinds, self.rng)
+        if now >= self._nobody_until:
+            self._nobody, self._nobody_until = placement.Exhausted(), now + self.policy.retry / 2
         # Within a pass room only shrinks: what found none, its like needn't look for.
-        full: set[tuple[Shape, frozenset[str]]] = set()
-        firm: set[tuple[Shape, frozenset[str], str | None]] = set()
-        for job in self.jobs.queue():
+        unfit = placement.Exhausted()
+        asked: set[Hashable] = set()
+        for job in queue:
             if self.jobs.backoff.get(job.no, 0.0) > now:
                 continue
             spec = job.spec
-            shape = Shape.of(spec)
             if spec.kind == wire.GANG and not job.placed:
                 self._place_gang(job, stock)
                 continue
@@ -61,23 +81,53 @@
             keep = self._unclaimed_by(rank) if self._reserved else None
             while job.waiting and self.jobs.within_limit(spec):
                 zones = self.jobs.zones_open(job)
-                shut = frozenset(zone for zone, is_open in zones.items() if not is_open)
-                chosen = None
-                if (shape, shut) not in full:
-                    chosen = placement.choose(spec, job.no, stock, self.jobs.needs, self.policy.sample, zones, keep)
-                if chosen is not None:
-                    self._place(job, chosen)
-                    continue
-                full.add((shape, shut))
+                shut = frozenset(zone for zone, is_open in zones.items() if not is_open) if zones else NO_ZONES
+                like = spec.types, spec.zone, spec.spot, spec.kind, rank, bool(spec.gpus), shut
+                if not unfit.covers(like, spec):
+                    known = self._full.covers(like, spec)
+                    where = grown if known else stock
+                    chosen = placement.choose(spec, job.no, where, self.jobs.needs, self.policy.sample, zones, keep)
+                    if chosen is not None:
+                        self._place(job, chosen)
+                        continue
+                    unfit.add(like, spec)
+                    if not (known or more):
+                        self._full.add(like, spec)
                 # Batch work stops others for one task of a shape at a time. For services, who may be stopped
                 # depends on the team too, while they are within its guarantee.
-                kin = shape, shut, spec.team if spec.spread and job.no not in self.jobs.beyond else None
-                if kin not in firm and not (self._preempt(job, stock, zones) and spec.spread):
-                    firm.add(kin)
+                kin = like, spec.team if job.no not in self.jobs.beyond else None
+                if self._nobody.covers(kin, spec) or (job.shape, kin) in asked:
+                    break
+                if not self._preempt(job, stock, zones):
+                    self._nobody.add(kin, spec)
+                elif not spec.spread:
+                    asked.add((job.shape, kin))
                 break
-        self.looked += stock.looked
-        ended = self.runtime.now()
-        self._next_pass = ended + self.policy.pass_rest * (ended - now)
+        if more:
+            # Who did not look this time has not seen what grew.
+            self._full = unfit
+        self.looked += stock.looked + grown.looked
+
+    def _grown(self, usable: list[Machine], freed: set[str]) -> list[Machine]:
+        """The machines that have more room than in the last pass, or are new to it.
+
+        What else decides about room (types, what GPU tasks need beside their GPUs) makes all look everywhere."""
+        rules = self.jobs.needs, tuple(self.term.kinds)
+        if rules != self._rules:
+            self._rules, self._full, self._last_room = rules, placement.Exhausted(), {}
+        last, room = self._last_room, dict[str, tuple[float, float, float, bool]]()
+        grown = []
+        for machine in usable:
+            name = machine.name
+            took = room[name] = machine.cores, machine.gpus, machine.ram, machine.slow
+            had = last.get(name)
+            if had == took and name not in freed:
+                continue
+            # A GPU that is taken needs no cores kept for it: then there is more room for what needs no GPU.
+            if had is None or name in freed or took[1] != had[1] or any(map(operator.lt, took, had)):
+                grown.append(machine)
+        self._last_room = room
+        return grown
 
     def _unclaimed_by(self, rank: int) -> Callable[[Machine], bool]:
         """Whether a machine's room is not claimed by somebody more important."""
@@ -87,9 +137,9 @@
 
         return keep
 
-    def _expire_claims(self, now: float) -> None:
-        """Drops the claims on room that were made good, or have waited too long."""
-        kept = {}
+    def _expire_claims(self, now: float) -> set[str]:
+        """Drops the claims on room that were made good, or have waited too long; gives the machines."""
+        kept, freed = {}, set()
         for name, claims in self._reserved.items():
             live = {
                 key: claim for key, claim in claims.items()
@@ -98,7 +148,10 @@
             }  # fmt: skip
             if live:
                 kept[name] = live
+            if len(live) < len(claims):
+                freed.add(name)
         self._reserved = kept
+        return freed
 
     def _preempt(self, job: Job, stock: placement.Stock, zones: dict[str, bool]) -> bool:
         """Makes room for a task by stopping tasks of lower rank where, of a sample, the least work is lost.
@@ -226,3 +279,7 @@
         placed = job.placed[task]
         placed.proposed_at = now
         machine.use(placed)
+        if job.spec.gpus:
+            self._last_room.pop(machine.name, None)
+        else:
+            self._last_room[machine.name] = machine.cores, machine.gpus, machine.ram, machine.slow
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -156,6 +156,8 @@
         if job.final and not job.placed:
             self.jobs.live.pop(job.no, None)
             self._errors.pop(job.spec.ref, None)
+        elif not done:
+            self.jobs.waits_again(job)
         self.term.kick()
 
     def _noticed(self, machine: Machine, notice: float) -> None:
@@ -277,6 +279,7 @@
             else:
                 # Its commit is under way: when it ends, nothing may be launched there.
                 self.ledger.propose(["E", placed.job.no, placed.task, placed.attempt, False])
+                self.jobs.waits_again(placed.job)
         self._exits = {key: placed for key, placed in self._exits.items() if key[0] != name}
         self.term.kick()
 
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from .. import wire
+from ..forecast import Shape
 
 Record = list[Any]
 
@@ -58,11 +59,12 @@
 
     __slots__ = (
         "at", "attempts", "cancelled", "cancelled_at", "committed", "done", "done_tasks", "fresh", "home",
-        "known_at", "no", "placed", "requeued", "spec", "told",
+        "known_at", "no", "placed", "requeued", "shape", "spec", "told",
     )  # fmt: skip
 
     def __init__(self, no: int, at: float, spec: wire.Spec) -> None:
         self.no, self.at, self.spec = no, at, spec
+        self.shape = Shape.of(spec)
         self.fresh = 0
         self.requeued: list[int] = []
         self.attempts: dict[int, int] = {}
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Hashable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -91,8 +92,30 @@
     return 5
 
 
+class Exhausted:
+    """Sizes of tasks for which there was nothing, by whatever else decides: a larger one needn't look.
+
+    Jobs of a class ask for amounts that differ a little; one that found no room answers for all the larger ones."""
+
+    def __init__(self) -> None:
+        self._sizes: dict[Hashable, list[tuple[float, float, float]]] = {}
+
+    def covers(self, key: Hashable, spec: wire.Spec) -> bool:
+        sizes = self._sizes.get(key)
+        if sizes is None:
+            return False
+        cores, gpus, ram = spec.cores, spec.gpus, spec.ram
+        return any(low[0] <= cores and low[1] <= gpus and low[2] <= ram for low in sizes)
+
+    def add(self, key: Hashable, spec: wire.Spec) -> None:
+        size = spec.cores, spec.gpus, spec.ram
+        sizes = self._sizes.get(key, [])
+        kept = [low for low in sizes if low[0] < size[0] or low[1] < size[1] or low[2] < size[2]]
+        self._sizes[key] = [*kept, size]
+
+
 class Stock:
-    """The machines that one pass of the scheduler may use, in a random order, each with its pool.
+    """The machines that one pass of the scheduler may use, walked in a random order, each with its pool.
 
     What a pool may not take (types, zones, spot) is decided once a shape, not once a machine; a search
     begins at a random place and ends as soon as it has a sample. `looked` counts the machines looked at.
@@ -105,16 +128,21 @@
             (numbers.setdefault((machine.kind, machine.zone, machine.spot), len(numbers)), kinds[machine.kind], machine)
             for machine in machines
         ]  # fmt: skip
-        rng.shuffle(self._entries)
+        # A stride without a common divisor visits each machine once, in an order of its own; shuffling hundreds
+        # of machines for each pass cost more than most passes' searches.
+        count = len(self._entries)
+        self._stride = next(
+            (stride for stride in (rng.randrange(1, count) for _ in range(32)) if math.gcd(stride, count) == 1), 1
+        ) if count > 1 else 0  # fmt: skip
         self._pools = list(numbers)
-        self._allowed: dict[Shape, list[bool]] = {}
+        self._allowed: dict[Hashable, list[bool]] = {}
 
     def _open(self, spec: wire.Spec, zone_open: dict[str, bool]) -> list[bool]:
         """By pool: whether the job may use it now."""
-        shape = Shape.of(spec)
-        allows = self._allowed.get(shape)
+        key = (spec.types, spec.zone, spec.spot, spec.cores, spec.gpus, spec.ram)
+        allows = self._allowed.get(key)
         if allows is None:
-            allows = self._allowed[shape] = [
+            allows = self._allowed[key] = [
                 allowed(spec, self.kinds[kind], zone, spot) for kind, zone, spot in self._pools
             ]  # fmt: skip
         if not zone_open:
@@ -128,12 +156,17 @@
         opens = self._open(spec, zone_open)
         if not any(opens):
             return
-        start = self._rng.randrange(len(self._entries))
-        for entries in (self._entries[start:], self._entries[:start]):
-            for number, kind, machine in entries:
-                if opens[number]:
-                    self.looked += 1
-                    yield machine, kind
+        entries, stride = self._entries, self._stride
+        count = len(entries)
+        at = self._rng.randrange(count) if count else 0
+        for _ in range(count):
+            number, kind, machine = entries[at]
+            if opens[number]:
+                self.looked += 1
+                yield machine, kind
+            at += stride
+            if at >= count:
+                at -= count
 
     def fitting(
         self, spec: wire.Spec, zone_open: dict[str, bool], needs: GpuNeeds, most: int,
