Few sockets for many workers: answers end connections when crowded, calls share a bound

Cause (from the count asked for): a controller that is alone with 1.5 times the fleet's machines would hold a connection from each (880 of 1,185 sockets, 711 of them allowed) and one or two to each; it refused the last workers, which then lose their leases. Change: near the bound each answer ends its connection, beyond it the one idle for longest goes; calls to workers share 0.3 of the sockets, the longest unused ends first, and wait within their own time. Many connections are accepted a turn.

--- a/flaxtally/http.py
+++ b/flaxtally/http.py
@@ -15,6 +15,7 @@
 
 HEAD_LIMIT = 16 * 1024
 BODY_LIMIT = 64 * 1024
+CROWDED = 0.8
 REASONS = {
     200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
     409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request", 422: "Unprocessable Content",
@@ -131,6 +132,7 @@
         self._server, self._stream = server, stream
         self._parser = Parser(False, BODY_LIMIT)
         self._busy = self._last = False
+        server.idle[self] = None
         self._timer = server.runtime.after(server.patience, self._slow)
         stream.on_data, stream.on_close = self._data, self._closed
 
@@ -149,6 +151,7 @@
         if message is None:
             return
         self._busy, self._last = True, message.close
+        self._server.idle.pop(self, None)
         self._timer.cancel()
         request = Request(self, message)
         try:
@@ -164,13 +167,15 @@
             head += "Content-Type: application/msgpack\r\n"
         if retry_after is not None:
             head += f"Retry-After: {retry_after}\r\n"
-        if self._last:
+        if self._last or self._server.crowded:
+            self._last = True
             head += "Connection: close\r\n"
         self._stream.send(head.encode("latin-1") + b"\r\n" + payload)
         self._busy = False
         if self._last:
-            self._server.runtime.after(self._server.linger, self._shut)
+            self._server.runtime.after(self._server.linger, self.shut)
             return
+        self._server.idle[self] = None
         self._timer.cancel()
         self._timer = self._server.runtime.after(self._server.patience, self._slow)
         if not self._parser.idle:
@@ -178,9 +183,9 @@
 
     def _slow(self) -> None:
         if not self._busy:
-            self._shut()
+            self.shut()
 
-    def _shut(self) -> None:
+    def shut(self) -> None:
         self._stream.close()
         self._closed()
 
@@ -188,11 +193,14 @@
         self._timer.cancel()
         self._busy = True
         self._server.open.discard(self)
+        self._server.idle.pop(self, None)
 
 
 class Server:
-    """Accepts up to `most` connections; each further one is closed at once, so that the
-    sockets kept for peers, state service and cloud can't be taken by others."""
+    """Keeps up to `most` connections, so that the sockets kept for peers, state service and cloud can't be
+    taken by others. When there are nearly as many, each ends with its next answer; for one beyond them the
+    one that is idle for longest is closed. A controller that is alone has more workers than connections to
+    keep: were it to refuse the last ones, these would lose their leases."""
 
     def __init__(
         self, runtime: Runtime, address: Address, handler: Callable[[Request], None],
@@ -201,12 +209,21 @@
         self.runtime, self.handler, self.most = runtime, handler, most
         self.patience, self.linger = patience, linger
         self.open: set[ServerConn] = set()
+        self.idle: dict[ServerConn, None] = {}
+        """Those without a request under way, the longest idle first."""
         runtime.listen(address, self._accept)
 
+    @property
+    def crowded(self) -> bool:
+        return len(self.open) > self.most * CROWDED
+
     def _accept(self, stream: Stream) -> None:
         if len(self.open) >= self.most:
-            stream.close()
-            return
+            oldest = next(iter(self.idle), None)
+            if oldest is None:
+                stream.close()
+                return
+            oldest.shut()
         self.open.add(ServerConn(self, stream))
 
 
@@ -250,6 +267,14 @@
         self._waiting.append(call)
         self._pump()
 
+    @property
+    def connections(self) -> int:
+        return len(self._idle) + len(self._busy)
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._busy or self._waiting)
+
     def close(self) -> None:
         for stream in [*self._idle, *self._busy]:
             stream.close()
--- a/flaxtally/intake.py
+++ b/flaxtally/intake.py
@@ -21,7 +21,6 @@
 log = logging.getLogger(__name__)
 
 RETRY_AFTER = 1
-MOST_ASKED = 1000
 Answer = Callable[[int, Any], None]
 
 
@@ -39,9 +38,11 @@
 
     def __init__(
         self, runtime: Runtime, policy: Policy, election: Election, peers: Peers, leader: Leader,
-        beat: Callable[[Request], None],
+        beat: Callable[[Request], None], most: int,
     ) -> None:  # fmt: skip
+        """`most`: questions under way at a time."""
         super().__init__(runtime)
+        self._most = most
         self._policy, self._election, self._peers, self._leader, self._beat = policy, election, peers, leader, beat
         self._ids = itertools.count(1)
         self._asked: dict[int, _Question] = {}
@@ -115,7 +116,7 @@
     def _ask(self, what: str, subject: str | bytes, answer: Answer) -> None:
         election = self._election
         leader = election.leader
-        if leader is None or not self._peers.direct(leader) or not election.able or len(self._asked) >= MOST_ASKED:
+        if leader is None or not self._peers.direct(leader) or not election.able or len(self._asked) >= self._most:
             answer(503, None)
             return
         number = next(self._ids)
--- a/flaxtally/loop.py
+++ b/flaxtally/loop.py
@@ -21,6 +21,8 @@
 
 Address = tuple[str, int]
 READ = 65536
+BACKLOG = 1024
+ACCEPTS = 64
 
 
 class Timer:
@@ -172,17 +174,19 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        sock.listen(256)
+        sock.listen(BACKLOG)
         sock.setblocking(False)
 
         def ready(_: int) -> None:
-            try:
-                peer, _address = sock.accept()
-            except OSError as fault:
-                if fault.errno in (errno.EMFILE, errno.ENFILE):
-                    log.warning("no sockets left to accept with")
-                return
-            accept(self._stream(peer, True))
+            # Many at a time: when all workers come back at once, one a turn lets the rest wait for too long.
+            for _ in range(ACCEPTS):
+                try:
+                    peer, _address = sock.accept()
+                except OSError as fault:
+                    if fault.errno in (errno.EMFILE, errno.ENFILE):
+                        log.warning("no sockets left to accept with")
+                    return
+                accept(self._stream(peer, True))
 
         self.selector.register(sock, selectors.EVENT_READ, ready)
 
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -22,8 +22,10 @@
 
 log = logging.getLogger(__name__)
 
-# Of the sockets: this share may be taken by users and workers; the rest is for what we dial.
-ACCEPTED_SHARE = 0.6
+# Of the sockets: these shares may be taken by users and workers, and by calls to workers; the rest is for peers,
+# state service and cloud.
+ACCEPTED_SHARE = 0.55
+CALLED_SHARE = 0.3
 
 
 class Node:
@@ -32,7 +34,7 @@
     def __init__(self, runtime: Runtime, settings: Settings, policy: Policy, rng: random.Random) -> None:
         store = Store(runtime, settings.state, policy.call)
         cloud = Cloud(runtime, settings.cloud, settings.cloud_rps, policy.call * 2)
-        workers = Workers(runtime, policy.order_call)
+        workers = Workers(runtime, policy.order_call, int(settings.max_sockets * CALLED_SHARE))
         self.peers = Peers(
             runtime, settings.node, settings.peer_listen,
             {name: address for name, (_, address) in settings.peers.items()}, policy.peer_silence, self._receive,
@@ -54,7 +56,9 @@
             runtime, settings, policy, self.ledger, cloud, self.election, self.dispatch, rng,
         )  # fmt: skip
         self.dispatch.deliver_to(self.leader.on_report)
-        self.intake = Intake(runtime, policy, self.election, self.peers, self.leader, self.dispatch.beat)
+        self.intake = Intake(
+            runtime, policy, self.election, self.peers, self.leader, self.dispatch.beat, settings.max_sockets,
+        )  # fmt: skip
         self._frames = {
             "hb": self.election.heartbeat, "rep": self.dispatch.forwarded, "ord": self.dispatch.order,
             "done": self.dispatch.carried, "ask": self.intake.asked, "ans": self.intake.answered,
--- a/flaxtally/workers.py
+++ b/flaxtally/workers.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -14,6 +15,8 @@
 
 log = logging.getLogger(__name__)
 
+A_WORKER = 2
+"""Connections to one worker at a time."""
 decode_report = msgspec.msgpack.Decoder(wire.Report).decode
 
 
@@ -22,12 +25,28 @@
     return (host, int(port)) if host and port.isdigit() else None
 
 
+class _Call(NamedTuple):
+    """A call that waits for a connection; its time runs from when it was asked for."""
+
+    address: str
+    target: Address
+    method: str
+    path: str
+    body: Any
+    done: Callable[[int, bytes], None]
+    until: float
+
+
 class Workers:
-    """`done(status, body)`: status 0 means that no answer came, so the orders may yet be executed."""
+    """`done(status, body)`: status 0 means that no answer came, so the orders may yet be executed.
 
-    def __init__(self, runtime: Runtime, timeout: float) -> None:
-        self._runtime, self._timeout = runtime, timeout
+    At most `most` connections at a time, in all: those that were used last are kept, a call beyond them waits."""
+
+    def __init__(self, runtime: Runtime, timeout: float, most: int) -> None:
+        self._runtime, self._timeout, self._most = runtime, timeout, max(A_WORKER, most)
         self._clients: dict[str, Client] = {}
+        """By address, the one called longest ago first."""
+        self._waiting: deque[_Call] = deque()
 
     def orders(self, address: str, body: dict[str, Any], done: Callable[[int, bytes], None]) -> None:
         self._call(address, "POST", wire.ORDERS, body, done)
@@ -35,23 +54,43 @@
     def status(self, address: str, done: Callable[[int, bytes], None]) -> None:
         self._call(address, "GET", wire.STATUS, None, done)
 
-    def drop(self, address: str) -> None:
-        """Closes the connection to a machine that is gone."""
-        client = self._clients.pop(address, None)
-        if client is not None:
-            client.close()
-
     def _call(self, address: str, method: str, path: str, body: Any, done: Callable[[int, bytes], None]) -> None:
-        client = self._clients.get(address)
-        if client is None:
-            target = parse_address(address)
-            if target is None:
-                log.warning("worker address %r is none", address)
-                done(0, b"")
-                return
-            client = self._clients[address] = Client(self._runtime, target, most=2)
-
-        def told(reply: Reply) -> None:
-            done(reply.status, reply.body)
-
-        client.request(method, path, body, self._timeout, told)
+        target = parse_address(address)
+        if target is None:
+            log.warning("worker address %r is none", address)
+            done(0, b"")
+            return
+        self._waiting.append(_Call(address, target, method, path, body, done, self._runtime.now() + self._timeout))
+        self._pump()
+
+    def _pump(self) -> None:
+        while self._waiting:
+            call, now = self._waiting[0], self._runtime.now()
+            if call.until <= now:
+                self._waiting.popleft()
+                call.done(0, b"")
+                continue
+            client = self._clients.pop(call.address, None)
+            if client is None:
+                if not self._room():
+                    return
+                client = Client(self._runtime, call.target, most=A_WORKER)
+            self._clients[call.address] = client
+            self._waiting.popleft()
+            client.request(call.method, call.path, call.body, call.until - now, lambda r, c=call: self._told(c, r))  # type: ignore[misc]
+
+    def _room(self) -> bool:
+        """Whether one more machine may be called; closes the connections that were used longest ago."""
+        if sum(client.connections for client in self._clients.values()) + A_WORKER <= self._most:
+            return True
+        for address, client in self._clients.items():
+            if not client.busy:
+                client.close()
+                del self._clients[address]
+                return True
+        return False
+
+    def _told(self, call: _Call, reply: Reply) -> None:
+        call.done(reply.status, reply.body)
+        if self._waiting:
+            self._pump()
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from flaxtally import wire
+from flaxtally.fleet import Machine
+from flaxtally.placement import Exhausted
 from flaxtally.settings import Team
 
-from .world import World, batch, spec
+from .world import TYPES, World, batch, spec
 
 NAMES = tuple(f"hearth-{number}" for number in range(7))
 
@@ -43,3 +45,34 @@
         world.count(ref) == job.tasks for ref, job in world.specs.items()
         if job.kind == wire.SERVICE and ref != "j-000001"
     )  # fmt: skip
+
+
+def test_who_found_no_room_looks_again_where_there_is_more() -> None:
+    # A day of 600 machines took over 400 s of processor time: each pass sought room anew for all that waited.
+    # What is remembered must be forgotten in time, or tasks wait beside free room.
+    world = World()
+    assert world.until(lambda: world.leader() is not None, 10)
+    scheduler = world.nodes[world.leader() or ""].leader.scheduler
+    machines = [Machine(f"n-{number}", TYPES[1].name, "a", False, 0.0) for number in range(3)]
+    one, two, three = machines
+    assert scheduler._grown(machines, set()) == machines
+    assert scheduler._grown(machines, set()) == []
+    one.cores, two.ram = 8.0, 8.0
+    assert scheduler._grown(machines, set()) == []
+    one.cores = 4.0
+    assert scheduler._grown(machines, set()) == [one]
+    # A GPU that is taken keeps no cores any more from what needs no GPU.
+    two.gpus = 1.0
+    assert scheduler._grown(machines, set()) == [two]
+    assert scheduler._grown([one, two], {"n-0"}) == [one]
+    assert scheduler._grown(machines, set()) == [three]
+
+
+def test_a_size_that_found_no_room_answers_for_larger_ones() -> None:
+    full = Exhausted()
+    full.add("a", spec("j-000001", cores=4.0, ram=8.0))
+    assert full.covers("a", spec("j-000002", cores=4.0, ram=9.0))
+    assert not full.covers("a", spec("j-000003", cores=3.9, ram=9.0))
+    assert not full.covers("b", spec("j-000002", cores=4.0, ram=9.0))
+    full.add("a", spec("j-000003", cores=2.0, ram=2.0))
+    assert full.covers("a", spec("j-000004", cores=2.0, ram=2.0))
