--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -85,11 +85,11 @@
             for kind in self.term.kinds.values() for zone in kind.zones for spot in (False, True)
             if Pool(kind.name, zone, spot) not in self._resting
         ]  # fmt: skip
-        rents = fill.plan(steps, self.term.kinds, pools, self.jobs.needs, 1.1, 40)
+        calls = 1 if self.cloud.troubled else max(1, int(self.settings.cloud_rps * policy.plan_step))
+        rents = fill.plan(steps, self.term.kinds, pools, self.jobs.needs, 1.1, calls * MOST_RENTED)
         wanted: dict[Pool, list[fill.Rent]] = {}
         for rent in rents:
             wanted.setdefault(rent.pool, []).append(rent)
-        calls = 1 if self.cloud.troubled else max(1, int(self.settings.cloud_rps * policy.plan_step))
         for pool, group in list(wanted.items())[:calls]:
             self._rent(pool, min(len(group), MOST_RENTED), group[0])
         self._give_back(now, demands)
--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -40,10 +40,10 @@
 
     def __init__(
         self, runtime: Runtime, store: Store, write_rps: float, value_bytes: int, txn_ops: int, retry: float,
-        lost: Callable[[], None],
+        gather: float, lost: Callable[[], None],
     ) -> None:  # fmt: skip
         super().__init__(runtime)
-        self._store, self._retry, self._lost = store, retry, lost
+        self._store, self._retry, self._gather, self._lost = store, retry, gather, lost
         self._page_bytes = value_bytes * 7 // 8
         self._most_pages = max(1, min(txn_ops - 2, TXN_BYTES // value_bytes))
         self._bucket = Bucket(runtime, write_rps * 0.85, max(self._most_pages, write_rps * 0.5))
@@ -170,7 +170,7 @@
     def _arm(self) -> None:
         if not self._armed and not self._busy:
             self._armed = True
-            self.later(self._bucket.wait(1.0), self._commit, self.generation)
+            self.later(max(self._gather / 2, self._bucket.wait(1.0)), self._commit, self.generation)
 
     def _commit(self, generation: int) -> None:
         if generation != self.generation:
@@ -279,7 +279,7 @@
         self._confirms.append(done)
         if not self._confirming:
             self._confirming = True
-            self.later(0.005, self._ask, self.generation)
+            self.later(self._gather / 2, self._ask, self.generation)
 
     def _ask(self, generation: int) -> None:
         if generation != self.generation:
@@ -296,7 +296,7 @@
             if outcome is Outcome.FAILED:
                 self._lost()
             elif self._confirms:
-                self.later(0.01, self._ask, generation)
+                self.later(self._gather, self._ask, generation)
             else:
                 self._confirming = False
 
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -37,7 +37,8 @@
         workers = Workers(runtime, policy.order_call, int(settings.max_sockets * CALLED_SHARE))
         self.peers = Peers(
             runtime, settings.node, settings.peer_listen,
-            {name: address for name, (_, address) in settings.peers.items()}, policy.peer_silence, self._receive,
+            {name: address for name, (_, address) in settings.peers.items()}, policy.peer_silence, policy.gather,
+            self._receive,
         )  # fmt: skip
         self.election = Election(
             runtime, settings.node, policy, store, self.peers, rng,
@@ -50,7 +51,7 @@
         self.dispatch = Dispatch(runtime, settings, policy, self.election, self.peers, workers)
         self.ledger = Ledger(
             runtime, store, settings.state_write_rps, settings.value_bytes, settings.txn_ops, policy.retry,
-            self.election.depose,
+            policy.gather, self.election.depose,
         )  # fmt: skip
         self.leader = Leader(
             runtime, settings, policy, self.ledger, cloud, self.election, self.dispatch, rng,
--- a/flaxtally/peers.py
+++ b/flaxtally/peers.py
@@ -65,6 +65,7 @@
         self.dialled_at = float("-inf")
         self.refused_at = float("-inf")
         self.deaf = False
+        self.gathered = bytearray()
 
 
 class Peers(Actor):
@@ -72,10 +73,10 @@
 
     def __init__(
         self, runtime: Runtime, node: str, listen: Address, others: dict[str, Address],
-        silence: float, receive: Callable[[str, Frame], None],
+        silence: float, gather: float, receive: Callable[[str, Frame], None],
     ) -> None:  # fmt: skip
         super().__init__(runtime)
-        self._node, self._silence, self._receive = node, silence, receive
+        self._node, self._silence, self._gather, self._receive = node, silence, gather, receive
         self._links = {name: _Link(address) for name, address in others.items()}
         self.heard: dict[str, float] = {name: float("-inf") for name in others}
         self.mail: Mail | None = None
@@ -110,8 +111,20 @@
             if now - link.dialled_at < self._silence / 4:
                 return
             self._dial(node, link)
-        if link.stream is not None:
-            link.stream.send(encode(frame))
+        if link.stream is None:
+            return
+        # Frames go a few at a time: hundreds of questions and reports a second were as many sends and wake-ups.
+        if not link.gathered:
+            self.later(self._gather, self._flush, link)
+        link.gathered += encode(frame)
+        if frame["k"] == "hb":
+            self._flush(link)
+
+    @staticmethod
+    def _flush(link: _Link) -> None:
+        if link.gathered and link.stream is not None:
+            link.stream.send(bytes(link.gathered))
+        link.gathered.clear()
 
     def _dial(self, node: str, link: _Link) -> None:
         link.dialled_at = self.runtime.now()
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -114,6 +114,9 @@
         self._sizes[key] = [*kept, size]
 
 
+_Entry = tuple[int, wire.MachineType, Machine]
+
+
 class Stock:
     """The machines that one pass of the scheduler may use, walked in a random order, each with its pool.
 
@@ -136,6 +139,7 @@
         ) if count > 1 else 0  # fmt: skip
         self._pools = list(numbers)
         self._allowed: dict[Hashable, list[bool]] = {}
+        self._by_image: dict[str, list[_Entry]] | None = None
 
     def _open(self, spec: wire.Spec, zone_open: dict[str, bool]) -> list[bool]:
         """By pool: whether the job may use it now."""
@@ -153,10 +157,13 @@
 
     def walk(self, spec: wire.Spec, zone_open: dict[str, bool]) -> Iterator[tuple[Machine, wire.MachineType]]:
         """The machines that the job may use, whatever room they have, from a random one on."""
-        opens = self._open(spec, zone_open)
+        return self._walk(self._entries, self._stride, self._open(spec, zone_open))
+
+    def _walk(
+        self, entries: list[_Entry], stride: int, opens: list[bool]
+    ) -> Iterator[tuple[Machine, wire.MachineType]]:  # fmt: skip
         if not any(opens):
             return
-        entries, stride = self._entries, self._stride
         count = len(entries)
         at = self._rng.randrange(count) if count else 0
         for _ in range(count):
@@ -168,18 +175,41 @@
             if at >= count:
                 at -= count
 
+    def _holding(self, image: str) -> list[_Entry]:
+        """The machines that hold the image."""
+        if self._by_image is None:
+            self._by_image = {}
+            for entry in self._entries:
+                for held in entry[2].images:
+                    self._by_image.setdefault(held, []).append(entry)
+        return self._by_image.get(image, [])
+
     def fitting(
         self, spec: wire.Spec, zone_open: dict[str, bool], needs: GpuNeeds, most: int,
         keep: Callable[[Machine], bool] | None = None,
     ) -> list[Machine]:  # fmt: skip
-        """At most so many machines, drawn at random, that can hold one more task of the job.
+        """At most so many machines, drawn at random, that can hold one more task of the job: among those that
+        hold its image, and if none of them can, among all. In a large fleet a sample of all misses the few that do.
 
         Who has found some ends after `WIDEN` times as many looks; who has found none looks at all."""
+        opens = self._open(spec, zone_open)
+        for walk in (
+            self._walk(self._holding(spec.image), 1, opens), self._walk(self._entries, self._stride, opens)
+        ):  # fmt: skip
+            found = self._sample(walk, spec, needs, most, keep)
+            if found:
+                return found
+        return []
+
+    def _sample(
+        self, walk: Iterator[tuple[Machine, wire.MachineType]], spec: wire.Spec, needs: GpuNeeds, most: int,
+        keep: Callable[[Machine], bool] | None,
+    ) -> list[Machine]:  # fmt: skip
         found: list[Machine] = []
         enough = self.looked + WIDEN * most
         quick = spec.kind == wire.SERVICE
         cores, gpus, ram = spec.cores - SLACK, spec.gpus - SLACK, spec.ram - SLACK
-        for machine, kind in self.walk(spec, zone_open):
+        for machine, kind in walk:
             if (
                 machine.cores + cores <= kind.cores
                 and machine.gpus + gpus <= kind.gpus
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -46,6 +46,7 @@
     call: float
     order_call: float
     retry: float
+    gather: float
     machine_suspect: float
     machine_silence: float
     zone_silence: float
