Plans pack sizes that are alike once; idle machines are checked together

Jobs of a class vary in cores, so demands grew to sixty and more. Change: demands that differ by less than a quarter in cores alone count as one of the largest size; idle machines are tried all at once, or else a half, at most eight times a plan; what the rooms hold is packed once a plan.

--- a/flaxtally/fill.py
+++ b/flaxtally/fill.py
@@ -9,13 +9,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import math
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass, field, replace
 
 from . import wire
 from .forecast import Shape
 from .placement import SLACK, GpuNeeds, allowed
 
 HASTE = 2.0
+ALIKE = 1.25
 
 
 @dataclass
@@ -61,6 +64,8 @@
     zones: dict[str, int] = field(default_factory=dict)
     caps: dict[str, int] | None = None
     """For jobs that spread: how many more of their tasks each zone may take. None: any number."""
+    typical: bool = False
+    """Stands for its lane in the forecast of arrivals."""
 
     def cap(self, zone: str) -> int:
         return 1_000_000 if self.caps is None else self.caps.get(zone, 0)
@@ -70,6 +75,31 @@
             self.caps[zone] = self.cap(zone) - count
 
 
+def merged(demands: Iterable[Demand]) -> list[Demand]:
+    """Demands that differ by no more than `ALIKE` in cores and in nothing else count as one of the largest size.
+
+    Jobs of a class vary; a plan that packs each of their sizes by itself grows with sizes times machines."""
+    found: dict[Hashable, Demand] = {}
+    for demand in demands:
+        shape = demand.shape
+        order = math.floor(math.log(shape.cores) / math.log(ALIKE)) if shape.cores > 0 else None
+        key = replace(shape, cores=0.0), order
+        one = found.get(key)
+        if one is None:
+            caps = None if demand.caps is None else dict(demand.caps)
+            found[key] = replace(demand, zones=dict(demand.zones), caps=caps)
+            continue
+        if shape.cores > one.shape.cores:
+            one.shape = shape
+        one.count += demand.count
+        one.until = max(one.until, demand.until)
+        one.typical = one.typical or demand.typical
+        if one.caps is not None and demand.caps is not None:
+            for zone, cap in demand.caps.items():
+                one.caps[zone] = one.caps.get(zone, 0) + cap
+    return list(found.values())
+
+
 def _slots(shape: Shape, room: Bin, needs: GpuNeeds) -> int:
     """How many tasks of a shape a bin still takes."""
     cores, ram = room.cores, room.ram
--- a/flaxtally/lead/emptier.py
+++ b/flaxtally/lead/emptier.py
@@ -51,6 +51,8 @@
         kinds = self.term.kinds
         known = [machine for machine in self.fleet.machines.values() if machine.kind in kinds]
         mean = sum(consolidate.hourly(machine, kinds) for machine in known) / max(1, len(known))
+        spare = self.planner.spare(demands, now)
+        gone = set(self._moving)
         while len(self._moving) < most:
             moving = [machine for name in self._moving if (machine := self.fleet.machines.get(name)) is not None]
             machine, failed = consolidate.pick(
@@ -61,7 +63,8 @@
             self._firm.update(dict.fromkeys(failed, now + self.policy.settle))
             if machine is None:
                 return
-            if not self.planner.spare(machine, demands, now):
+            gone.add(machine.name)
+            if not spare(gone):
                 self._firm[machine.name] = now + self.policy.settle
                 return
             log.info("event=empty term=%d machine=%s type=%s zone=%s replicas=%d", self.term.number, machine.name,
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 from dataclasses import replace
 
 import msgspec
@@ -19,6 +20,9 @@
 
 log = logging.getLogger(__name__)
 
+MOST_CHECKS = 8
+"""Times that a plan looks at whether idle machines can go."""
+
 
 def _fixed(kind: wire.MachineType) -> wire.MachineType:
     """The type without what moves all the time."""
@@ -147,7 +151,7 @@
             shape = job.shape
             demand = counts.get(shape)
             if demand is None:
-                demand = counts[shape] = Demand(shape, 0.0, self._run_length(spec))
+                demand = counts[shape] = Demand(shape, 0.0, self._run_length(spec), typical=self._typical(shape))
             demand.count += count
             if spec.spread:
                 caps = demand.caps = demand.caps or {}
@@ -157,16 +161,17 @@
             if shape not in counts and self._typical(shape) and (
                 self.jobs.arrivals.rate(shape.lane, now) > 0 or shape.lane in self._reserve
             ):  # fmt: skip
-                counts[shape] = Demand(shape, 0.0, self._run_length(spec))
+                counts[shape] = Demand(shape, 0.0, self._run_length(spec), typical=True)
                 if spec.spread:
                     counts[shape].caps = dict.fromkeys(self.settings.zones, 0)
-        for demand in counts.values():
+        demands = fill.merged(counts.values())
+        for demand in demands:
             for machine in self.fleet.machines.values():
                 if machine.kind in self.term.kinds and placement.allowed(
                     demand.shape, self.term.kinds[machine.kind], machine.zone, machine.spot
                 ):
                     demand.zones[machine.zone] = demand.zones.get(machine.zone, 0) + 1
-        return sorted(counts.values(), key=lambda demand: (demand.shape.rank, -demand.shape.gpus))
+        return sorted(demands, key=lambda demand: (demand.shape.rank, -demand.shape.gpus))
 
     def _typical(self, shape: Shape) -> bool:
         """One shape stands for its lane in the forecast of arrivals: the one last seen."""
@@ -182,7 +187,7 @@
         if not demand.shape.service:
             # By then the machines that run such tasks now will have worked off a part of the queue.
             count = max(0.0, count - self._running.get(demand.shape.lane, 0) * at / max(demand.until, 1.0))
-        if self._typical(demand.shape):
+        if demand.typical:
             more = self.jobs.arrivals.rate(demand.shape.lane, now) * min(at, demand.until)
             if demand.shape.lane in self._reserve:
                 # Room for the next job, and for what the loss of a few machines would leave without.
@@ -191,7 +196,7 @@
             count += more
             if caps is not None:
                 caps = {zone: cap + math.ceil(more / 2) for zone, cap in caps.items()}
-        return Demand(demand.shape, count, at + demand.until, demand.zones, caps)
+        return Demand(demand.shape, count, at + demand.until, demand.zones, caps, demand.typical)
 
     def _rooms(self, now: float, at: float) -> list[Bin]:
         """The room of machines that serve by then: free now, or freed by tasks estimated to end. Those that
@@ -289,29 +294,45 @@
         if not idle:
             return
         idle.sort(key=lambda machine: -self.term.kinds[machine.kind].price)
-        for machine in idle:
-            if self.spare(machine, demands, now):
-                self.tracker.release(machine, f"idle for {now - machine.idle_since:.0f}s, no step needs it")
+        # All at once, or else a half, and so on. One by one, fifty idle machines kept the loop busy for seconds.
+        spare, going, size = self.spare(demands, now), list[Machine](), len(idle)
+        for _ in range(MOST_CHECKS):
+            some = idle[:size]
+            if not some:
+                break
+            if spare({machine.name for machine in [*going, *some]}):
+                going += some
+                idle = idle[size:]
+            else:
+                size = len(some) // 2
+        for machine in going:
+            self.tracker.release(machine, f"idle for {now - machine.idle_since:.0f}s, no step needs it")
         self.tracker.flush_releases()
 
     def _steps(self) -> tuple[float, float]:
         """The times ahead that the plan looks at."""
         return self.policy.plan_lead / 2, self.policy.plan_lead
 
-    def spare(self, machine: Machine, demands: list[Demand], now: float) -> bool:
-        """Whether no step's demand needs the machine."""
-        return all(
-            self._enough(at, [self._at(demand, at, now) for demand in demands], now, machine.name)
-            for at in self._steps()
-        )  # fmt: skip
+    def spare(self, demands: list[Demand], now: float) -> Callable[[set[str]], bool]:
+        """A check whether the demand that the rooms can hold, at each step, is held just as well without the
+        named machines."""
+        steps = []
+        for at in self._steps():
+            rooms, then = self._rooms(now, at), [self._at(demand, at, now) for demand in demands]
+            steps.append((rooms, then, self._left(then, rooms)))
 
-    def _enough(self, at: float, demands: list[Demand], now: float, without: str) -> bool:
-        """Whether the demand that the rooms can hold is held just as well without this machine."""
-        rooms = self._rooms(now, at)
-        # Packing uses rooms up: each of the two has its own.
-        fewer = [replace(room) for room in rooms if room.name != without]
-        return all(
-            fill.pack(replace(demand, caps=dict(demand.caps) if demand.caps else None), rooms, self.jobs.needs)
-            == fill.pack(demand, fewer, self.jobs.needs)
+        def check(without: set[str]) -> bool:
+            return all(
+                self._left(then, [room for room in rooms if room.name not in without]) == left
+                for rooms, then, left in steps
+            )
+
+        return check
+
+    def _left(self, demands: list[Demand], rooms: list[Bin]) -> list[int]:
+        """What of each demand finds no room. Packing uses rooms and caps up: it gets copies."""
+        rooms = [replace(room) for room in rooms]
+        return [
+            fill.pack(replace(demand, caps=None if demand.caps is None else dict(demand.caps)), rooms, self.jobs.needs)
             for demand in demands
-        )  # fmt: skip
+        ]
