--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -167,7 +167,10 @@
             return True
         best: tuple[float, Machine, list[Placement]] | None = None
         found = 0
-        for machine, kind in stock.walk(spec, zones):
+        for seen, (machine, kind) in enumerate(stock.walk(spec, zones)):
+            if seen >= placement.WIDEN**2 * self.policy.sample:
+                # Another part of the fleet is looked at the next time.
+                break
             victims = self._victims(job, machine, kind, entitled, now)
             if not victims:
                 continue
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
+
 from flaxtally import wire
+from flaxtally.fill import Demand, merged
 from flaxtally.fleet import Machine
+from flaxtally.forecast import Shape
+from flaxtally.lead.planner import MOST_CHECKS, Planner
+from flaxtally.loop import Loop
 from flaxtally.placement import Exhausted
 from flaxtally.settings import Team
 
@@ -76,3 +82,48 @@
     assert not full.covers("b", spec("j-000002", cores=4.0, ram=9.0))
     full.add("a", spec("j-000003", cores=2.0, ram=2.0))
     assert full.covers("a", spec("j-000004", cores=2.0, ram=2.0))
+
+
+def test_idle_machines_are_checked_together(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Fifty idle machines, checked one by one, kept the leader's loop busy for longer than a peer may be silent.
+    world = World()
+    world.submit(spec("j-000001", tasks=2))
+    assert world.until(lambda: world.count("j-000001") == 2, 60)
+    used = {world.machine_of(f"j-000001/{task}") for task in range(2)}
+    spare = {world.cloud.add("c16", "ab"[number % 2], False, boot=0.5) for number in range(40)}
+    packed: list[int] = []
+    left = Planner._left
+    monkeypatch.setattr(Planner, "_left", lambda *args: packed.append(1) or left(*args))
+    most = 0
+    for _ in range(60):
+        packed.clear()
+        world.run(1.0)
+        most = max(most, len(packed))
+    assert not spare & set(world.workers)
+    assert used <= set(world.workers)
+    # One a step for what the rooms hold, the checks, and the same for the emptier.
+    assert 0 < most <= 2 * 2 * (1 + MOST_CHECKS)
+
+
+def test_sizes_that_are_alike_are_planned_as_one() -> None:
+    # Jobs whose cores vary made sixty demands, each of them packed into every machine.
+    def demand(cores: float, **changes: object) -> Demand:
+        return Demand(Shape.of(spec("j-000001", cores=cores, **changes)), 10, 60.0)
+
+    found = merged([demand(5.0), demand(5.4), demand(5.2), demand(10.0), demand(5.2, gpus=1.0)])
+    assert [(one.shape.cores, one.shape.gpus, one.count) for one in found] == [
+        (5.4, 0.0, 30), (10.0, 0.0, 10), (5.2, 1.0, 10),
+    ]  # fmt: skip
+
+
+def test_time_limits_that_were_kept_wake_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Every request sets time limits and cancels them; the loop woke for each of them when it would have been due.
+    loop = Loop()
+    waits: list[float | None] = []
+    monkeypatch.setattr(loop.selector, "select", lambda wait: waits.append(wait) or [])
+    for number in range(100):
+        loop.after(0.001 * number, lambda: None).cancel()
+    loop.after(60.0, lambda: None)
+    loop._turn()
+    assert waits[0] is not None
+    assert 59.0 < waits[0] <= 60.0
