--- a/flaxtally/fill.py
+++ b/flaxtally/fill.py
@@ -70,6 +70,13 @@
     def cap(self, zone: str) -> int:
         return 1_000_000 if self.caps is None else self.caps.get(zone, 0)
 
+    def add(self, count: float, length: float) -> None:
+        """That many tasks more, which run that long."""
+        whole = self.count + count
+        if whole:
+            self.until = (self.until * self.count + length * count) / whole
+        self.count = whole
+
     def used(self, zone: str, count: int) -> None:
         if self.caps is not None:
             self.caps[zone] = self.cap(zone) - count
@@ -91,8 +98,7 @@
             continue
         if shape.cores > one.shape.cores:
             one.shape = shape
-        one.count += demand.count
-        one.until = max(one.until, demand.until)
+        one.add(demand.count, demand.until)
         one.typical = one.typical or demand.typical
         if one.caps is not None and demand.caps is not None:
             for zone, cap in demand.caps.items():
--- a/flaxtally/forecast.py
+++ b/flaxtally/forecast.py
@@ -42,18 +42,27 @@
         self._window, self._step = window, step
         self._buckets: deque[tuple[int, dict[str, float]]] = deque()
         self._first: float | None = None
-        self._sizes: deque[tuple[float, str, int]] = deque()
+        self._jobs: deque[tuple[float, str, int, float]] = deque()
+
+    def _recent(self, lane: str, now: float) -> list[tuple[int, float]]:
+        """The lane's jobs of the window: tasks, and how long each is estimated to run."""
+        while self._jobs and self._jobs[0][0] < now - self._window:
+            self._jobs.popleft()
+        return [(tasks, length) for _, noted, tasks, length in self._jobs if noted == lane]
 
     def largest(self, lane: str, now: float) -> int:
         """The most tasks of one job of the lane within the window."""
-        while self._sizes and self._sizes[0][0] < now - self._window:
-            self._sizes.popleft()
-        return max((tasks for _, sized, tasks in self._sizes if sized == lane), default=0)
+        return max((tasks for tasks, _ in self._recent(lane, now)), default=0)
+
+    def length(self, lane: str, now: float) -> float:
+        """How long a task of the lane is estimated to run, on average over the window's tasks; 0: none came."""
+        recent = self._recent(lane, now)
+        return sum(tasks * length for tasks, length in recent) / max(1, sum(tasks for tasks, _ in recent))
 
-    def note(self, lane: str, tasks: int, now: float) -> None:
+    def note(self, lane: str, tasks: int, length: float, now: float) -> None:
         if self._first is None:
             self._first = now
-        self._sizes.append((now, lane, tasks))
+        self._jobs.append((now, lane, tasks, length))
         slot = int(now / self._step)
         if not self._buckets or self._buckets[-1][0] != slot:
             self._buckets.append((slot, {}))
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -85,7 +85,7 @@
         self._waiting[no] = job
         self._claim(job)
         self.note_spec(spec)
-        self.arrivals.note(spec.lane, spec.tasks, now)
+        self.arrivals.note(spec.lane, spec.tasks, self.run_length(spec), now)
         self.term.kick()
 
     def _refusal(self, spec: wire.Spec) -> str | None:
@@ -181,6 +181,10 @@
             if placed.committed:
                 self.orders.stop(placed, 0.0)
 
+    def run_length(self, spec: wire.Spec) -> float:
+        """How long a task is expected to take room."""
+        return spec.estimate if spec.kind == wire.ARRAY and spec.estimate else self.policy.plan_horizon
+
     def note_spec(self, spec: wire.Spec) -> None:
         self.specs[Shape.of(spec)] = spec
         if spec.gpus:
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -151,8 +151,8 @@
             shape = job.shape
             demand = counts.get(shape)
             if demand is None:
-                demand = counts[shape] = Demand(shape, 0.0, self._run_length(spec), typical=self._typical(shape))
-            demand.count += count
+                demand = counts[shape] = Demand(shape, 0.0, self.jobs.run_length(spec), typical=self._typical(shape))
+            demand.add(count, self.jobs.run_length(spec))
             if spec.spread:
                 caps = demand.caps = demand.caps or {}
                 for zone in self.settings.zones:
@@ -161,7 +161,8 @@
             if shape not in counts and self._typical(shape) and (
                 self.jobs.arrivals.rate(shape.lane, now) > 0 or shape.lane in self._reserve
             ):  # fmt: skip
-                counts[shape] = Demand(shape, 0.0, self._run_length(spec), typical=True)
+                length = self.jobs.arrivals.length(shape.lane, now) or self.jobs.run_length(spec)
+                counts[shape] = Demand(shape, 0.0, length, typical=True)
                 if spec.spread:
                     counts[shape].caps = dict.fromkeys(self.settings.zones, 0)
         demands = fill.merged(counts.values())
@@ -178,9 +179,6 @@
         last = next((other for other in reversed(self.jobs.specs) if other.lane == shape.lane), None)
         return last == shape
 
-    def _run_length(self, spec: wire.Spec) -> float:
-        return spec.estimate if spec.kind == wire.ARRAY and spec.estimate else self.policy.plan_horizon
-
     def _at(self, demand: Demand, at: float, now: float) -> Demand:
         count = demand.count
         caps = dict(demand.caps) if demand.caps is not None else None
@@ -188,7 +186,9 @@
             # By then the machines that run such tasks now will have worked off a part of the queue.
             count = max(0.0, count - self._running.get(demand.shape.lane, 0) * at / max(demand.until, 1.0))
         if demand.typical:
-            more = self.jobs.arrivals.rate(demand.shape.lane, now) * min(at, demand.until)
+            # Not by the last job's own length: one long job made the plan rent for a hundred machines' work.
+            length = self.jobs.arrivals.length(demand.shape.lane, now) or demand.until
+            more = self.jobs.arrivals.rate(demand.shape.lane, now) * min(at, length)
             if demand.shape.lane in self._reserve:
                 # Room for the next job, and for what the loss of a few machines would leave without.
                 more += self.jobs.arrivals.largest(demand.shape.lane, now)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -236,13 +236,24 @@
 
 def test_forecast_averages_and_leaves_the_burst_out() -> None:
     arrivals = Arrivals(100.0, 5.0)
-    arrivals.note("batch", 80, 0.0)
+    arrivals.note("batch", 80, 30.0, 0.0)
     for at in range(5, 100, 5):
-        arrivals.note("batch", 2, float(at))
+        arrivals.note("batch", 2, 30.0, float(at))
     assert arrivals.rate("batch", 100.0) == pytest.approx(0.4, rel=0.15)
     assert arrivals.rate("other", 100.0) == 0.0
 
 
+def test_one_long_job_does_not_stand_for_its_lane() -> None:
+    # Found on magnolia-plant-fleet: the last job's estimate (160 s for a class of 35 s) made each plan rent for
+    # all arrivals of that long, a hundred machines and more; they fell idle one after the other.
+    arrivals = Arrivals(100.0, 5.0)
+    for at in range(20):
+        arrivals.note("batch", 10, 35.0, float(at))
+    arrivals.note("batch", 5, 160.0, 20.0)
+    assert 35.0 < arrivals.length("batch", 20.0) < 40.0
+    assert arrivals.length("other", 20.0) == 0.0
+
+
 def test_fill_takes_the_cheapest_per_work_and_the_open_zone() -> None:
     gate = Shape.of(spec("j-000001"))
     pools = [Pool(kind, zone, spot) for kind in KINDS for zone in "ab" for spot in (False, True)]
