Tasks of a cut zone are kept: cancellations are told on proof, so leases may be kept for long

Change: a job is told as cancelled when each placement is proven over and that is committed; who asks while a machine of it is silent is told at once to ask again. Ruled out: keeping the bound and splitting it between two lives of a controller (both cuts would then lose the tasks).

--- a/flaxtally/dispatch.py
+++ b/flaxtally/dispatch.py
@@ -51,6 +51,7 @@
         self._settings, self._policy = settings, policy
         self._election, self._peers, self._workers = election, peers, workers
         self._deliver: Callable[[str, wire.Report], None] = lambda *_: None
+        self._started = runtime.now()
         self._heard: dict[str, tuple[float, wire.Report]] = {}
         self._sent_on: dict[str, float] = {}
         self._returned: dict[str, float] = {}
@@ -74,6 +75,10 @@
             request.reply(400, {"error": "not a report"})
             return
         election, now, name = self._election, self.runtime.now(), report.machine
+        if election.term == 0 and report.token and now - self._started < self._policy.unattended:
+            # Begun anew where nothing can be reached: it keeps the tasks of those who ask it, and orders nothing.
+            request.reply(200, wire.beat_answer(report.token))
+            return
         if report.token > election.term:
             # Somebody with a higher term commands it: we are not entitled to act.
             request.reply(421, wire.report_elsewhere(None))
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -38,6 +38,8 @@
         """What each team's unfinished jobs take together, as of the last count."""
         self._counted_at = float("-inf")
         self.backoff: dict[int, float] = {}
+        self._cancelling: dict[int, list[Answer]] = {}
+        """Who waits to hear that a job is cancelled. Those who wait for too long were answered 503 by their node."""
         self._finish_within: dict[str, list[float]] = {}
         self._late_times: dict[str, list[float]] = {}
         for aim in self.settings.objectives:
@@ -142,23 +144,29 @@
         self.ledger.confirm(told)
 
     def cancel(self, ref: str, answer: Answer) -> None:
+        """Stops the job, and says so once every placement of it is proven over and that is committed.
+
+        A promise that hung on leases or on the cloud could be broken by a cut together with an outage. Who asks
+        while a machine of the job is silent is told at once to ask again."""
         job = self.ledger.book.by_ref.get(ref)
         if job is None or job.told or not job.committed:
             self.poll(ref, answer)
             return
-        if job.done or job.cancelled:
+        if job.done:
             # Its end is being committed.
             answer(503, None)
             return
-        if any(self._out_of_reach(placed) for placed in job.placed.values()):
-            # A promise that we might not keep: the machine is silent and the cloud can't take it back.
+        if any(self._silent(placed) for placed in job.placed.values()):
             answer(503, None)
+        else:
+            self._cancelling.setdefault(job.no, []).append(answer)
+        if job.cancelled:
             return
 
         def committed() -> None:
-            job.told = wire.ABORTED
-            answer(200, wire.job_status(ref, wire.ABORTED))
+            job.ending = True
             self._stop_cancelled(job)
+            self.settle(job)
 
         self.ledger.propose(["C", job.no], committed)
         job.cancelled_at = self.runtime.now()
@@ -166,15 +174,18 @@
             self.live.pop(job.no, None)
         log.info("event=cancel term=%d job=%s placed=%d", self.term.number, ref, len(job.placed))
 
-    def _out_of_reach(self, placed: Placement) -> bool:
+    def _silent(self, placed: Placement) -> bool:
         machine = self.fleet.machines.get(placed.machine)
-        now = self.runtime.now()
-        return (
-            machine is not None
-            and now - machine.heard_at > self.policy.machine_silence
-            and now - self.cloud.troubled_at < self.policy.settle
-            and self.cloud.troubled
-        )
+        if machine is None or not machine.baseline:
+            return True
+        return self.runtime.now() - machine.heard_at > self.policy.machine_suspect
+
+    def settle(self, job: Job) -> None:
+        """After a commit: a cancelled job of which nothing is left is told as cancelled."""
+        if job.ending and not job.told and not job.placed and not job.leaving:
+            job.told = wire.ABORTED
+            for answer in self._cancelling.pop(job.no, ()):
+                answer(200, wire.job_status(job.spec.ref, wire.ABORTED))
 
     def _stop_cancelled(self, job: Job) -> None:
         for placed in list(job.placed.values()):
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -271,11 +271,14 @@
         now = self.runtime.now()
 
         def committed() -> None:
+            if job.placed.get(task) is not placed:
+                # Its machine was released meanwhile.
+                return
             placed.committed = True
             if job.cancelled:
                 # Cancelled between proposal and commit: it was never launched, so it is over.
                 self.tracker.over(placed, False, "cancelled before launch")
-            elif job.placed.get(task) is placed:
+            else:
                 self.orders.launch(placed)
 
         self.ledger.propose(["P", job.no, task, attempt, machine.name, machine.zone], committed)
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -25,6 +25,7 @@
         self._exits: dict[tuple[str, str, int], Placement] = {}
         self._errors: dict[str, set[str]] = {}
         self._releasing_now = False
+        self._dark_until: dict[str, float] = {}
         orders.deliver = self.on_report
 
     def on_report(self, server: str, report: wire.Report) -> None:
@@ -98,7 +99,7 @@
                           placed.job.spec.image in machine.images)  # fmt: skip
                 kind = self.term.kinds.get(machine.kind)
                 machine.note_image(placed.job.spec.image, placed.job.spec.image_gb, kind.cache if kind else 0.0)
-        if placed.job.cancelled and placed.job.told and now - placed.sent_at > self.policy.retry:
+        if placed.job.ending and now - placed.sent_at > self.policy.retry:
             self.orders.stop(placed, 0.0)
 
     def _exited(self, machine: Machine, placed: Placement, task: wire.TaskReport) -> None:
@@ -146,11 +147,14 @@
 
         def committed() -> None:
             placed.committed = False
+            job.leaving -= 1
             if job.done and not job.told:
                 job.told = wire.DONE
                 log.info("event=job_done term=%d job=%s", self.term.number, job.spec.ref)
+            self.jobs.settle(job)
 
         self.ledger.propose(["E", job.no, placed.task, placed.attempt, done], committed)
+        job.leaving += 1
         if machine is not None:
             machine.free(placed, now)
         if job.final and not job.placed:
@@ -190,13 +194,13 @@
     def watch(self) -> None:
         """Silent machines, late boots, unkept cancellations: probe, and release what stays silent."""
         now, policy = self.runtime.now(), self.policy
+        dark = self._dark_zones(now)
         for job in list(self.jobs.live.values()):
-            if job.cancelled and job.told and now - job.cancelled_at > policy.cancel_patience:
+            if job.ending and now - job.cancelled_at > policy.cancel_patience:
                 for placed in list(job.placed.values()):
                     machine = self.fleet.machines.get(placed.machine)
-                    if machine is not None and not machine.releasing:
+                    if machine is not None and not machine.releasing and machine.zone not in dark:
                         self.release(machine, "cancelled task not confirmed gone")
-        dark = self._dark_zones(now)
         for machine in list(self.fleet.machines.values()):
             if machine.releasing:
                 continue
@@ -226,7 +230,11 @@
                 count = counts.setdefault(machine.zone, [0, 0])
                 count[0] += 1
                 count[1] += now - machine.heard_at > self.policy.machine_suspect
-        return {zone for zone, (up, silent) in counts.items() if silent >= 3 and silent * 2 > up}
+        for zone, (up, silent) in counts.items():
+            if silent >= 3 and silent * 2 > up:
+                # Not over as soon as half of them report again: the others are then on their way.
+                self._dark_until[zone] = now + self.policy.machine_silence
+        return {zone for zone, until in self._dark_until.items() if until > now}
 
     def _probe(self, machine: Machine) -> None:
         machine.probing = True
@@ -274,12 +282,8 @@
         if machine is None:
             return
         for placed in list(machine.placements.values()):
-            if placed.committed:
-                self.over(placed, False, "machine released")
-            else:
-                # Its commit is under way: when it ends, nothing may be launched there.
-                self.ledger.propose(["E", placed.job.no, placed.task, placed.attempt, False])
-                self.jobs.waits_again(placed.job)
+            # Also one whose own commit is under way: when it ends, nothing is launched there.
+            self.over(placed, False, "machine released")
         self._exits = {key: placed for key, placed in self._exits.items() if key[0] != name}
         self.term.kick()
 
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -58,8 +58,8 @@
     """A job and the states of its tasks. Tasks from `fresh` on were never touched."""
 
     __slots__ = (
-        "at", "attempts", "cancelled", "cancelled_at", "committed", "done", "done_tasks", "fresh", "home",
-        "known_at", "no", "placed", "requeued", "shape", "spec", "told",
+        "at", "attempts", "cancelled", "cancelled_at", "committed", "done", "done_tasks", "ending", "fresh",
+        "home", "known_at", "leaving", "no", "placed", "requeued", "shape", "spec", "told",
     )  # fmt: skip
 
     def __init__(self, no: int, at: float, spec: wire.Spec) -> None:
@@ -74,6 +74,10 @@
         self.done = False
         self.committed = False
         self.told = ""
+        self.ending = False
+        """Its cancellation is committed."""
+        self.leaving = 0
+        """Placements proven over whose record is not committed yet."""
         self.cancelled_at = 0.0
         self.known_at = 0.0
         self.home = 0
--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -95,7 +95,9 @@
                     self.book.replay(record, number)
             for job in self.book.jobs.values():
                 job.committed = True
-                job.told = wire.ABORTED if job.cancelled else wire.DONE if job.done else ""
+                job.ending = job.cancelled
+                # A cancelled job is told as such when nothing of it is left; see `Jobs.settle`.
+                job.told = wire.DONE if job.done else wire.ABORTED if job.cancelled and not job.placed else ""
                 for placement in job.placed.values():
                     placement.committed = placement.inherited = True
             self._filling = max(self._pages, default=0) + 1
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from flaxtally import wire
 from flaxtally.election import LEAD
 from flaxtally.http import Request
@@ -177,6 +179,68 @@
     assert world.until(lambda: len(world.running) == 8, 40), world.trace
 
 
+def cut_zone(world: World, zone: str) -> Callable[[], None]:
+    """Cuts a zone's controllers and machines off from everything; gives what heals it."""
+    inside = {world.ip(name) for number, name in enumerate(world.names) if "ab"[number % 2] == zone}
+    inside |= {world.ip_of(name) for name, worker in world.workers.items() if worker.machine.zone == zone}
+    pairs = [(one, other) for one in inside for other in world.sim.hosts if other not in inside]
+    for pair in pairs:
+        world.sim.cut(*pair)
+    return lambda: [world.sim.heal(*pair) for pair in pairs] and None
+
+
+def test_a_controller_begun_anew_in_a_cut_zone_keeps_its_workers_tasks() -> None:
+    # Found on magnolia-plant-fleet: a cut zone's only controller ended and came back. It knew no term and
+    # answered its workers 503; 956 tasks were killed by their leases.
+    # With more controllers than two a worker's tries of those beyond the cut alone outlast this world's lease.
+    world = World(nodes=NODES[:2])
+    for number in range(4):
+        world.submit(spec(f"j-{number:06d}", tasks=2))
+    assert world.until(lambda: len(world.running) == 8, 60), world.trace
+    more = [world.cloud.add("c16", "b", False, boot=0.5) for _ in range(3)]
+    assert world.until(lambda: all(name in world.workers for name in more), 5)
+    world.run(3)
+    before = dict(world.running)
+    heal = cut_zone(world, "b")
+    world.run(4)
+    world.crash("hearth-1", back_after=1.0)
+    world.run(25)
+    assert world.running == before
+    heal()
+    world.run(25)
+    assert world.running == before
+    assert world.ask("j-000000")[1]["stage"] == "running"
+
+
+def test_a_cancellation_is_told_when_nothing_of_the_job_is_left() -> None:
+    # A promise that hung on leases bounded how long a cut zone's tasks could be kept, and could be broken by a cut
+    # and an outage together: the user is told to ask again until the tasks are proven over.
+    world = serving()
+    ref = "j-000000"
+    heal = cut_zone(world, "b")
+    world.cloud.down = True
+    world.run(6)
+    leader = NODES.index(world.leader() or "")
+    asked = world.sim.time
+    answers: list[tuple[float, int]] = []
+    world.call(NODES[leader], "POST", f"{wire.WORK}/{ref}/cancel", None,
+               lambda status, _: answers.append((world.sim.time - asked, status)))  # fmt: skip
+    world.run(2)
+    assert [status for _, status in answers] == [503]
+    assert answers[0][0] < 0.1
+    # One task is stopped, the other can't be reached; nobody calls the job cancelled, and nothing of it starts.
+    assert world.count(ref) == 1
+    assert world.ask(ref)[1]["stage"] in ("running", "pending")
+    world.run(20)
+    assert ref not in world.told_cancelled
+    heal()
+    world.cloud.down = False
+    world.cancel(ref, node=leader)
+    assert world.until(lambda: ref in world.told_cancelled, 30), world.trace
+    assert world.count(ref) == 0
+    assert world.ask(ref)[1]["stage"] == "aborted"
+
+
 def test_stale_report_copies_keep_no_machine_alive() -> None:
     # Copies of old reports arrive for a lease and more: they are no sign of life and prove no task absent.
     world = serving()
