--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -11,6 +11,7 @@
 from .. import placement, wire
 from ..forecast import Arrivals, Shape
 from ..ledger.book import Job, Placement
+from ..urgency import Due, levels
 from .orders import Orders
 from .term import Duty, Term
 
@@ -18,6 +19,8 @@
 
 Answer = Callable[[int, Any], None]
 MOST_BACKLOG = 2000
+BEGIN_SHARE = 0.7
+"""Of the time within which an aim wants a class to begin: who still waits then goes first."""
 
 
 class Jobs(Duty):
@@ -40,11 +43,16 @@
         self.backoff: dict[int, float] = {}
         self._cancelling: dict[int, list[Answer]] = {}
         """Who waits to hear that a job is cancelled. Those who wait for too long were answered 503 by their node."""
+        self._levels: dict[int, int] = {}
+        """For which of its due times a waiting job is to be in time, where there is not room for all."""
+        self._begin_within: dict[str, float] = {}
         self._finish_within: dict[str, list[float]] = {}
         self._late_times: dict[str, list[float]] = {}
         for aim in self.settings.objectives:
             if aim.kind == "deadline" and aim.lane is not None and aim.times != 1.0:
                 self._late_times.setdefault(aim.lane, []).append(aim.times)
+            if aim.kind == "wait" and aim.lane is not None and aim.within:
+                self._begin_within[aim.lane] = aim.within * BEGIN_SHARE
             if aim.kind == "finished" and aim.lane is not None and aim.within:
                 self._finish_within.setdefault(aim.lane, []).append(aim.within)
 
@@ -220,6 +228,7 @@
             return waiting
         if self.runtime.now() - self._counted_at > self.policy.retry / 2:
             self._count_claims()
+            self._choose_levels(waiting)
         wall = self.runtime.wall()
         keyed = [
             ((wire.RANKS[job.spec.rank], job.no in self.beyond, *self.urgency(job, wall), job.no), job)
@@ -246,20 +255,38 @@
             self.beyond.add(job.no)
 
     def urgency(self, job: Job, wall: float) -> tuple[int, float]:
-        """How many of the job's due times are past saving, and when it must start for the next one."""
+        """For which of its due times the job is to be in time, and by when it must start for that."""
+        spec = job.spec
+        if spec.kind != wire.SERVICE and wall - job.at > self._begin_within.get(spec.lane, 2 * self.policy.plan_lead):
+            # Those left out for being large must begin all the same.
+            return -1, job.at
+        latest = self._latest(job)
+        level = max(sum(wall > time for time in latest), self._levels.get(job.no, 0))
+        return (level, latest[level]) if level < len(latest) else (len(latest), 0.0)
+
+    def _latest(self, job: Job) -> tuple[float, ...]:
+        """By when its tasks must start for each of its due times."""
         spec = job.spec
         dues = list(self._finish_within.get(spec.lane, ()))
         if spec.deadline is not None:
             dues.append(spec.deadline)
             # A deadline that is lost may leave a multiple of it to be kept.
             dues += [spec.deadline * times for times in self._late_times.get(spec.lane, ())]
-        lost = 0
-        for due in sorted(dues):
-            latest = job.at + due - spec.estimate
-            if wall <= latest:
-                return lost, latest
-            lost += 1
-        return lost, 0.0
+        return tuple(job.at + due - spec.estimate for due in sorted(dues))
+
+    def _choose_levels(self, waiting: list[Job]) -> None:
+        """Chooses which waiting jobs are to be in time; each class by what its running tasks can work off."""
+        lanes: dict[str, list[Due]] = {}
+        for job in waiting:
+            if job.spec.kind != wire.SERVICE:
+                due = Due(job.no, self._latest(job), job.waiting * job.spec.estimate)
+                lanes.setdefault(job.spec.lane, []).append(due)
+        running: dict[str, int] = {}
+        for job in self.live.values():
+            running[job.spec.lane] = running.get(job.spec.lane, 0) + len(job.placed)
+        self._levels = {}
+        for lane, dues in lanes.items():
+            self._levels |= levels(dues, self.runtime.wall(), max(1, running.get(lane, 0)))
 
     def zones_open(self, job: Job, leaving: Placement | None = None) -> dict[str, bool]:
         """Zones that the job's placements, but for one that leaves, keep open; those not named are open."""
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -12,6 +12,7 @@
 from flaxtally.loop import Loop
 from flaxtally.placement import Exhausted
 from flaxtally.settings import Team
+from flaxtally.urgency import Due, levels
 
 from .world import TYPES, World, batch, spec
 
@@ -127,3 +128,14 @@
     loop._turn()
     assert waits[0] is not None
     assert 59.0 < waits[0] <= 60.0
+
+
+def test_too_much_work_leaves_out_the_largest_not_the_last() -> None:
+    # Found on magnolia-plant-fleet's bursts: in the order of due times every job began when it was nearly too late.
+    large = [Due(number, (50.0, 90.0), 400.0) for number in range(2)]
+    small = [Due(10 + number, (60.0, 90.0), 50.0) for number in range(8)]
+    found = levels([*large, *small], 10.0, 10)
+    assert [found[due.no] for due in small] == [0] * 8
+    # 400 s of the small ones' work leave room for 400 s until 90 s, none for the other.
+    assert sorted(found[due.no] for due in large) == [1, 2]
+    assert levels([Due(1, (5.0, 20.0), 1.0), Due(2, (), 1.0)], 10.0, 1) == {1: 1, 2: 0}
