--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -139,3 +139,43 @@
     # 400 s of the small ones' work leave room for 400 s until 90 s, none for the other.
     assert sorted(found[due.no] for due in large) == [1, 2]
     assert levels([Due(1, (5.0, 20.0), 1.0), Due(2, (), 1.0)], 10.0, 1) == {1: 1, 2: 0}
+
+
+def test_everything_restarts_together_at_size() -> None:
+    # 560 machines and seven controllers: all controllers end at once, some back within a fraction of a second, while
+    # machines hang and others are taken. The world checks the rules at each start and end of a task; here: every job is
+    # known and answered, what ran runs on, and no controller holds more sockets than it may.
+    # (Played at half as many machines again only by the bench: here it would take half of the suite's time.)
+    world = World(nodes=NAMES, capacity=140, team=Team("crew", 0.0, 1e5, 0.0, 4000.0))
+    for number in range(150):
+        world.submit(spec(f"j-{number:06d}", tasks=(2, 6, 12)[number % 3]), node=number)
+    for number in range(150, 178):
+        world.submit(batch(f"j-{number:06d}", 120), run_time=25.0, node=number)
+    world.run(28)
+    assert len(world.workers) > 500
+    assert len(world.accepted) == 178
+    before = dict(world.running)
+    services = {task for task in before if int(task[2:8]) < 150}
+    hung = sorted({before[task][0] for task in services})[:6]
+    for name in hung:
+        world.workers[name].hung = True
+    for number, name in enumerate(NAMES):
+        world.crash(name, back_after=(0.2, 5.0, 0.4)[number % 3])
+    most = 0
+    for _ in range(45):
+        world.run(1.0)
+        for name in NAMES:
+            streams = world.sim.hosts[world.ip(name)].streams
+            most = max(most, sum(stream.opened and not stream.dead for stream in streams))
+    assert most <= 500
+    assert not set(hung) & set(world.workers)
+    assert not any(" end lapsed " in line for line in world.trace)
+    ended = [line for line in world.trace if " end " in line and " end done " not in line]
+    assert {line.split(" end ")[1].split()[0] for line in ended} <= {"gone", "halted"}
+    # What ran on hung machines is placed anew, a few replicas are moved off dear machines; the rest stayed.
+    moved = {task for task in services if world.running.get(task) != before[task]}
+    assert len(moved) <= sum(before[task][0] in hung for task in services) + len(services) / 20
+    assert services <= set(world.running)
+    for number in range(0, 178, 11):
+        assert world.ask(f"j-{number:06d}")[0] == 200
+    assert len(world.accepted) == 178
