--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -27,7 +27,7 @@
     `beside_arrays`: also one where array tasks still run, which will take none while it is emptied.
     `moving`: machines being emptied, whose replicas find their room first. `firm`: machines to pass over.
     `least`: the price an hour from which a machine's return is worth its replicas' moves.
-    A replica moves only to a machine that holds its image."""
+    """
     candidates: list[tuple[float, Machine]] = []
     for machine in machines:
         if machine.name in firm or hourly(machine, kinds) < least:
@@ -44,14 +44,11 @@
     claimed: list[tuple[Machine, wire.Spec]] = []
 
     def fits(machine: Machine) -> bool:
-        price = hourly(machine, kinds)
         for placed in sorted(_replicas(machine), key=lambda placed: -placed.job.spec.cores):
             spec = placed.job.spec
             target = choose(
                 spec, placed.job.no, stock, needs, sample, zones_without(placed.job, placed),
-                lambda other, spec=spec: other is not machine  # type: ignore[misc]
-                and (bool(other.placements) or 2 * hourly(other, kinds) < price)
-                and spec.image in other.images,
+                lambda other, spec=spec: takes(machine, other, spec, kinds),  # type: ignore[misc]
             )  # fmt: skip
             if target is None:
                 return False
@@ -76,6 +73,15 @@
             target.claim(spec, -1)
 
 
+def takes(machine: Machine, other: Machine, spec: wire.Spec, kinds: dict[str, wire.MachineType]) -> bool:
+    """Whether a replica may move from the one to the other: to a used machine, or an idle one that costs less than
+    half; to one that holds its image, or off GPUs that it doesn't need to a machine without them."""
+    if other is machine or not (other.placements or 2 * hourly(other, kinds) < hourly(machine, kinds)):
+        return False
+    freed = kinds[machine.kind].gpus and not spec.gpus and not kinds[other.kind].gpus
+    return spec.image in other.images or bool(freed)
+
+
 def _replicas(machine: Machine) -> list[Placement]:
     """What must move; tasks of arrays are left to end."""
     return [placed for placed in machine.placements.values() if placed.job.spec.kind == wire.SERVICE]
--- a/flaxtally/lead/emptier.py
+++ b/flaxtally/lead/emptier.py
@@ -4,8 +4,9 @@
 
 import logging
 
-from .. import consolidate, wire
+from .. import consolidate, placement, wire
 from ..fill import Demand
+from ..fleet import Machine
 from ..ledger.book import Placement
 from .jobs import Jobs
 from .orders import Orders
@@ -26,6 +27,10 @@
         """Machines being emptied, and since when."""
         self._firm: dict[str, float] = {}
         """Machines that could not be emptied, until when they are passed over."""
+        self.hints: dict[tuple[int, int], str] = {}
+        """Where a moved task is to go; the scheduler takes them out."""
+        self._cold: dict[tuple[int, int], tuple[Placement, float]] = {}
+        """Moved replicas that fetch their image, and since when."""
 
     def consolidate(self, now: float, demands: list[Demand]) -> None:
         """Begins to empty machines, when all is calm; `move_on` moves their replicas one at a time."""
@@ -85,6 +90,7 @@
 
     def move_on(self, now: float) -> None:
         """Moves the next replica of each machine, once the last one is placed and while all is in touch."""
+        stock: placement.Stock | None = None
         waiting = not self._in_touch(now) or any(
             job.spec.kind == wire.SERVICE for job in self.jobs.waiting()
         )  # fmt: skip
@@ -100,7 +106,34 @@
                 continue
             stopping = any(placed.stopping_at is not None for placed in machine.placements.values())
             if not waiting and not stopping:
-                for placed in machine.placements.values():
-                    if placed.seen and placed.job.spec.kind == wire.SERVICE:
-                        self.orders.stop(placed, 0.0)
-                        break
+                stock = stock or placement.Stock(self.tracker.usable(), self.term.kinds, self.rng)
+                self._move_one(machine, stock, now)
+
+    def _move_one(self, machine: Machine, stock: placement.Stock, now: float) -> None:
+        """Moves the machine's next replica to where there is room for it now.
+
+        Few fetch their image at a time: each of them is away for seconds."""
+        self._cold = {
+            key: (old, since) for key, (old, since) in self._cold.items()
+            if now - since < self.policy.move_patience and not (
+                (new := old.job.placed.get(old.task)) is not None and new is not old and new.state == wire.RUNNING)
+        }  # fmt: skip
+        for placed in machine.placements.values():
+            if not placed.seen or placed.job.spec.kind != wire.SERVICE:
+                continue
+            spec = placed.job.spec
+            target = placement.choose(
+                spec, placed.job.no, stock, self.jobs.needs, self.policy.sample,
+                self.jobs.zones_open(placed.job, placed),
+                lambda other, spec=spec: consolidate.takes(machine, other, spec, self.term.kinds),  # type: ignore[misc]
+            )  # fmt: skip
+            if target is None:
+                return
+            key = placed.job.no, placed.task
+            if spec.image not in target.images:
+                if len(self._cold) >= max(1, len(self.fleet.machines) // (8 * self.policy.sample)):
+                    return
+                self._cold[key] = placed, now
+            self.hints[key] = target.name
+            self.orders.stop(placed, 0.0)
+            return
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -31,6 +31,10 @@
         self._next_pass = 0.0
         self._reserved: dict[str, dict[tuple[int, int], tuple[int, float, wire.Spec]]] = {}
         self._preempted: dict[tuple[int, int], float] = {}
+        self._freed: set[str] = set()
+        """Machines on which a claim was made good since the last pass."""
+        self.hints: dict[tuple[int, int], str] = {}
+        """Where moved tasks are to go."""
         self._full = placement.Exhausted()
         """Who found no room in the passes up to now; only where there is more now they look again."""
         self._last_room: dict[str, tuple[float, float, float, bool]] = {}
@@ -57,7 +61,7 @@
         if queue:
             self._pass(queue, now)
         ended = self.runtime.now()
-        self._next_pass = ended + max(self.policy.pass_rest * (ended - now), self.policy.heartbeat / 16)
+        self._next_pass = ended + max(self.policy.pass_rest * (ended - now), self.policy.heartbeat / 8)
 
     def _pass(self, queue: list[Job], now: float) -> None:
         """One look at all that waits. Who found no room in an earlier pass looks only where there is more now."""
@@ -66,7 +70,7 @@
         more = self._grown(usable, self._expire_claims(now))
         grown = placement.Stock(more, self.term.kinds, self.rng)
         if now >= self._nobody_until:
-            self._nobody, self._nobody_until = placement.Exhausted(), now + self.policy.retry / 2
+            self._nobody, self._nobody_until = placement.Exhausted(), now + self.policy.retry
         # Within a pass room only shrinks: what found none, its like needn't look for.
         unfit = placement.Exhausted()
         asked: set[Hashable] = set()
@@ -81,6 +85,9 @@
             keep = self._unclaimed_by(rank) if self._reserved else None
             while job.waiting and self.jobs.within_limit(spec):
                 zones = self.jobs.zones_open(job)
+                if self.hints and (hinted := self._hinted(job, zones, keep)) is not None:
+                    self._place(job, hinted)
+                    continue
                 shut = frozenset(zone for zone, is_open in zones.items() if not is_open) if zones else NO_ZONES
                 like = spec.types, spec.zone, spec.spot, spec.kind, rank, bool(spec.gpus), shut
                 if not unfit.covers(like, spec):
@@ -129,6 +136,21 @@
         self._last_room = room
         return grown
 
+    def _hinted(
+        self, job: Job, zones: dict[str, bool], keep: Callable[[Machine], bool] | None
+    ) -> Machine | None:  # fmt: skip
+        """Where the job's next task was moved to, if it can still go there."""
+        machine = self.fleet.machines.get(self.hints.pop((job.no, job.next_task()), ""))
+        if machine is None or not self.tracker.is_usable(machine) or not zones.get(machine.zone, True):
+            return None
+        kind, spec = self.term.kinds[machine.kind], job.spec
+        left = placement.room(machine, kind)
+        fits = (
+            left.holds(spec) and placement.allowed(spec, kind, machine.zone, machine.spot)
+            and placement.leaves_gpus_usable(spec, left, kind, self.jobs.needs) and (keep is None or keep(machine))
+        )  # fmt: skip
+        return machine if fits else None
+
     def _unclaimed_by(self, rank: int) -> Callable[[Machine], bool]:
         """Whether a machine's room is not claimed by somebody more important."""
 
@@ -139,7 +161,8 @@
 
     def _expire_claims(self, now: float) -> set[str]:
         """Drops the claims on room that were made good, or have waited too long; gives the machines."""
-        kept, freed = {}, set()
+        kept, freed = {}, self._freed
+        self._freed = set()
         for name, claims in self._reserved.items():
             live = {
                 key: claim for key, claim in claims.items()
@@ -285,6 +308,10 @@
         placed = job.placed[task]
         placed.proposed_at = now
         machine.use(placed)
+        for name, claims in self._reserved.items():
+            # Made good: who comes later in this pass must not count it beside the placement, and stop twice as many.
+            if claims.pop((job.no, task), None) is not None:
+                self._freed.add(name)
         if job.spec.gpus:
             self._last_room.pop(machine.name, None)
         else:
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -183,13 +183,14 @@
         self.term.kick()
 
     def usable(self) -> list[Machine]:
-        now = self.runtime.now()
-        return [
-            machine
-            for machine in self.fleet.machines.values()
-            if machine.baseline and not machine.draining and not machine.releasing and machine.kind in self.term.kinds
-            and now - machine.heard_at < self.policy.machine_suspect and machine.orders_failed < 2
-        ]  # fmt: skip
+        return [machine for machine in self.fleet.machines.values() if self.is_usable(machine)]
+
+    def is_usable(self, machine: Machine) -> bool:
+        """Whether something may be placed there now."""
+        return (
+            machine.baseline and not machine.draining and not machine.releasing and machine.kind in self.term.kinds
+            and self.runtime.now() - machine.heard_at < self.policy.machine_suspect and machine.orders_failed < 2
+        )  # fmt: skip
 
     def watch(self) -> None:
         """Silent machines, late boots, unkept cancellations: probe, and release what stays silent."""
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -56,6 +56,7 @@
         self.scheduler = Scheduler(term, self.jobs, self.tracker, self.orders)
         self.planner = Planner(term, self.jobs, self.tracker)
         self.emptier = Emptier(term, self.jobs, self.tracker, self.orders, self.planner)
+        self.emptier.hints = self.scheduler.hints
 
     @property
     def book(self) -> Book:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -5,10 +5,12 @@
 import pytest
 
 from flaxtally import wire
+from flaxtally.consolidate import takes
 from flaxtally.fill import Demand, merged
 from flaxtally.fleet import Machine
 from flaxtally.forecast import Shape
 from flaxtally.lead.planner import MOST_CHECKS, Planner
+from flaxtally.ledger.book import Job, Placement
 from flaxtally.loop import Loop
 from flaxtally.placement import Exhausted
 from flaxtally.settings import Team
@@ -179,3 +181,21 @@
     for number in range(0, 178, 11):
         assert world.ask(f"j-{number:06d}")[0] == 200
     assert len(world.accepted) == 178
+
+
+def test_a_replica_leaves_gpus_for_a_cold_machine_without() -> None:
+    # Found on quizul-cluj-fleet: 47 of 79 GPU machines held nothing but small replicas, while cheap machines stood
+    # idle beside them, since none of these held an image.
+    kinds = {kind.name: kind for kind in TYPES}
+    dear, cheap, other = (
+        Machine(f"n-{number}", kind, "a", False, 0.0) for number, kind in enumerate(("g8", "c16", "g8"))
+    )  # fmt: skip
+    gate = spec("j-000001")
+    assert takes(dear, cheap, gate, kinds)
+    assert not takes(cheap, dear, gate, kinds)
+    assert not takes(dear, other, gate, kinds)
+    other.placements[1, 0] = Placement(Job(1, 0.0, gate), 0, 1, "n-2", "a")
+    assert not takes(dear, other, gate, kinds)
+    other.images["img-1"] = 1.0
+    assert takes(dear, other, gate, kinds)
+    assert not takes(dear, cheap, spec("j-000002", gpus=1.0), kinds)
