--- a/flaxtally/loop.py
+++ b/flaxtally/loop.py
@@ -214,7 +214,7 @@
 
     def _turn(self) -> None:
         wait: float | None = None
-        # Most timers are time limits that are kept: to wake for each of them was a third of all turns.
+        # Most timers are time limits that are kept: to wake for each of them cost more than most messages.
         while self._timers and not self._timers[0][2].live:
             heapq.heappop(self._timers)
         if self._soon:
