--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -199,3 +199,34 @@
     other.images["img-1"] = 1.0
     assert takes(dear, other, gate, kinds)
     assert not takes(dear, cheap, spec("j-000002", gpus=1.0), kinds)
+
+
+def test_a_flood_of_submissions_delays_neither_reports_nor_leadership() -> None:
+    # More is asked at once than the state service's limit lets through: each is answered in time, accepted or 503, no
+    # worker loses its lease, the leader stays, and the limit on changes is kept.
+    world = World(nodes=NAMES, capacity=20)
+    for number in range(4):
+        world.submit(spec(f"j-{number:06d}", tasks=2), node=number)
+    assert world.until(lambda: len(world.running) == 8, 60)
+    world.run(3)
+    before, term = dict(world.running), world.nodes[NAMES[0]].election.term
+    answers: list[tuple[float, int]] = []
+
+    def ask(number: int) -> None:
+        asked = world.sim.time
+        job = batch(f"j-{number:06d}", 3, image=f"img-{number % 9}")
+        world.specs[job.ref] = job
+        world.call(NAMES[number % 7], "POST", wire.WORK, wire.submission(job),
+                   lambda status, _: answers.append((world.sim.time - asked, status)))  # fmt: skip
+
+    start, changes = world.sim.time, world.state.changes
+    for number in range(3000):
+        world.sim.at(start + number / 1500, ask, 1000 + number)
+    world.run(8)
+    assert len(answers) == 3000
+    assert {status for _, status in answers} <= {201, 503}
+    assert sum(status == 201 for _, status in answers) > 1000
+    assert max(wait for wait, _ in answers) < 4.0
+    assert world.state.changes - changes <= 8 * 40 + 40
+    assert {node.election.term for node in world.nodes.values()} == {term}
+    assert {task: world.running.get(task) for task in before} == before
