Reading: one way to find where a replica moves, checks made only when needed

The emptier and the plan chose a moved replica's target in two copies: consolidate.target serves both. The check of spare machines was made in every plan, also when there was nothing to empty: now with the first candidate. Hints are handed to the emptier in place of a dictionary that was replaced; moved replicas are kept by placement, without a key beside it; a job's own shape is used where it was computed again; merged demands are taken over, not copied. No behaviour changes.

--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -32,10 +32,10 @@
     for machine in machines:
         if machine.name in firm or hourly(machine, kinds) < least:
             continue
-        replicas = _replicas(machine)
-        alone = len(replicas) == len(machine.placements)
-        if replicas and all(settled(placed) for placed in replicas) and (beside_arrays or alone):
-            candidates.append((hourly(machine, kinds) / len(replicas), machine))
+        there = replicas(machine)
+        alone = len(there) == len(machine.placements)
+        if there and all(settled(placed) for placed in there) and (beside_arrays or alone):
+            candidates.append((hourly(machine, kinds) / len(there), machine))
     candidates.sort(key=lambda entry: -entry[0])
     failed: list[str] = []
     if not candidates:
@@ -44,16 +44,13 @@
     claimed: list[tuple[Machine, wire.Spec]] = []
 
     def fits(machine: Machine) -> bool:
-        for placed in sorted(_replicas(machine), key=lambda placed: -placed.job.spec.cores):
+        for placed in sorted(replicas(machine), key=lambda placed: -placed.job.spec.cores):
             spec = placed.job.spec
-            target = choose(
-                spec, placed.job.no, stock, needs, sample, zones_without(placed.job, placed),
-                lambda other, spec=spec: takes(machine, other, spec, kinds),  # type: ignore[misc]
-            )  # fmt: skip
-            if target is None:
+            found = target(placed, machine, stock, needs, sample, zones_without)
+            if found is None:
                 return False
-            target.claim(spec, 1)
-            claimed.append((target, spec))
+            found.claim(spec, 1)
+            claimed.append((found, spec))
         return True
 
     try:
@@ -65,12 +62,24 @@
                 return machine, failed
             failed.append(machine.name)
             while len(claimed) > held:
-                target, spec = claimed.pop()
-                target.claim(spec, -1)
+                held_by, spec = claimed.pop()
+                held_by.claim(spec, -1)
         return None, failed
     finally:
-        for target, spec in claimed:
-            target.claim(spec, -1)
+        for held_by, spec in claimed:
+            held_by.claim(spec, -1)
+
+
+def target(
+    placed: Placement, machine: Machine, stock: Stock, needs: GpuNeeds, sample: int,
+    zones_without: Callable[[Job, Placement], dict[str, bool]],
+) -> Machine | None:  # fmt: skip
+    """Where a replica of the machine can move to now."""
+    job = placed.job
+    return choose(
+        job.spec, job.no, stock, needs, sample, zones_without(job, placed),
+        lambda other: takes(machine, other, job.spec, stock.kinds),
+    )  # fmt: skip
 
 
 def takes(machine: Machine, other: Machine, spec: wire.Spec, kinds: dict[str, wire.MachineType]) -> bool:
@@ -82,7 +91,7 @@
     return spec.image in other.images or bool(freed)
 
 
-def _replicas(machine: Machine) -> list[Placement]:
+def replicas(machine: Machine) -> list[Placement]:
     """What must move; tasks of arrays are left to end."""
     return [placed for placed in machine.placements.values() if placed.job.spec.kind == wire.SERVICE]
 
--- a/flaxtally/fill.py
+++ b/flaxtally/fill.py
@@ -83,7 +83,8 @@
 
 
 def merged(demands: Iterable[Demand]) -> list[Demand]:
-    """Demands that differ by no more than `ALIKE` in cores and in nothing else count as one of the largest size.
+    """Demands that differ by no more than `ALIKE` in cores and in nothing else count as one of the largest size;
+    those given are used up.
 
     Jobs of a class vary; a plan that packs each of their sizes by itself grows with sizes times machines."""
     found: dict[Hashable, Demand] = {}
@@ -93,8 +94,7 @@
         key = replace(shape, cores=0.0), order
         one = found.get(key)
         if one is None:
-            caps = None if demand.caps is None else dict(demand.caps)
-            found[key] = replace(demand, zones=dict(demand.zones), caps=caps)
+            found[key] = demand
             continue
         if shape.cores > one.shape.cores:
             one.shape = shape
--- a/flaxtally/lead/emptier.py
+++ b/flaxtally/lead/emptier.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from .. import consolidate, placement, wire
 from ..fill import Demand
@@ -20,16 +21,19 @@
 class Emptier(Duty):
     """Owns the emptying under way: one machine at a time in a small fleet, several in a large one."""
 
-    def __init__(self, term: Term, jobs: Jobs, tracker: Tracker, orders: Orders, planner: Planner) -> None:
+    def __init__(
+        self, term: Term, jobs: Jobs, tracker: Tracker, orders: Orders, planner: Planner,
+        hints: dict[tuple[int, int], str],
+    ) -> None:  # fmt: skip
         super().__init__(term)
         self.jobs, self.tracker, self.orders, self.planner = jobs, tracker, orders, planner
         self._moving: dict[str, float] = {}
         """Machines being emptied, and since when."""
         self._firm: dict[str, float] = {}
         """Machines that could not be emptied, until when they are passed over."""
-        self.hints: dict[tuple[int, int], str] = {}
+        self._hints = hints
         """Where a moved task is to go; the scheduler takes them out."""
-        self._cold: dict[tuple[int, int], tuple[Placement, float]] = {}
+        self._cold: dict[Placement, float] = {}
         """Moved replicas that fetch their image, and since when."""
 
     def consolidate(self, now: float, demands: list[Demand]) -> None:
@@ -56,8 +60,8 @@
         kinds = self.term.kinds
         known = [machine for machine in self.fleet.machines.values() if machine.kind in kinds]
         mean = sum(consolidate.hourly(machine, kinds) for machine in known) / max(1, len(known))
-        spare = self.planner.spare(demands, now)
-        gone = set(self._moving)
+        spare: Callable[[set[str]], bool] | None = None
+        going: set[str] = set()
         while len(self._moving) < most:
             moving = [machine for name in self._moving if (machine := self.fleet.machines.get(name)) is not None]
             machine, failed = consolidate.pick(
@@ -68,8 +72,9 @@
             self._firm.update(dict.fromkeys(failed, now + self.policy.settle))
             if machine is None:
                 return
-            gone.add(machine.name)
-            if not spare(gone):
+            spare = spare or self.planner.spare(demands, now)
+            going.add(machine.name)
+            if not spare(going):
                 self._firm[machine.name] = now + self.policy.settle
                 return
             log.info("event=empty term=%d machine=%s type=%s zone=%s replicas=%d", self.term.number, machine.name,
@@ -114,26 +119,21 @@
 
         Few fetch their image at a time: each of them is away for seconds."""
         self._cold = {
-            key: (old, since) for key, (old, since) in self._cold.items()
+            old: since for old, since in self._cold.items()
             if now - since < self.policy.move_patience and not (
                 (new := old.job.placed.get(old.task)) is not None and new is not old and new.state == wire.RUNNING)
         }  # fmt: skip
-        for placed in machine.placements.values():
-            if not placed.seen or placed.job.spec.kind != wire.SERVICE:
-                continue
-            spec = placed.job.spec
-            target = placement.choose(
-                spec, placed.job.no, stock, self.jobs.needs, self.policy.sample,
-                self.jobs.zones_open(placed.job, placed),
-                lambda other, spec=spec: consolidate.takes(machine, other, spec, self.term.kinds),  # type: ignore[misc]
-            )  # fmt: skip
-            if target is None:
-                return
-            key = placed.job.no, placed.task
-            if spec.image not in target.images:
-                if len(self._cold) >= max(1, len(self.fleet.machines) // (8 * self.policy.sample)):
-                    return
-                self._cold[key] = placed, now
-            self.hints[key] = target.name
-            self.orders.stop(placed, 0.0)
+        placed = next((placed for placed in consolidate.replicas(machine) if placed.seen), None)
+        if placed is None:
             return
+        target = consolidate.target(
+            placed, machine, stock, self.jobs.needs, self.policy.sample, self.jobs.zones_open
+        )  # fmt: skip
+        if target is None:
+            return
+        if placed.job.spec.image not in target.images:
+            if len(self._cold) >= max(1, len(self.fleet.machines) // (8 * self.policy.sample)):
+                return
+            self._cold[placed] = now
+        self._hints[placed.job.no, placed.task] = target.name
+        self.orders.stop(placed, 0.0)
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -63,7 +63,7 @@
             if not job.final or job.placed:
                 self.live[job.no] = job
                 self._waiting[job.no] = job
-                self.note_spec(job.spec)
+                self._note_spec(job)
             if job.cancelled:
                 job.cancelled_at = now
 
@@ -94,7 +94,7 @@
         self.live[no] = job
         self._waiting[no] = job
         self._claim(job)
-        self.note_spec(spec)
+        self._note_spec(job)
         self.arrivals.note(spec.lane, spec.tasks, self.run_length(spec), now)
         self.term.kick()
 
@@ -204,9 +204,9 @@
         """How long a task is expected to take room."""
         return spec.estimate if spec.kind == wire.ARRAY and spec.estimate else self.policy.plan_horizon
 
-    def note_spec(self, spec: wire.Spec) -> None:
-        self.specs[Shape.of(spec)] = spec
-        if spec.gpus:
+    def _note_spec(self, job: Job) -> None:
+        self.specs[job.shape] = job.spec
+        if job.spec.gpus:
             self.needs = placement.gpu_needs(self.specs.values())
 
     def waits_again(self, job: Job) -> None:
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -55,8 +55,7 @@
         self.tracker = Tracker(term, self.jobs, self.orders, self.pace)
         self.scheduler = Scheduler(term, self.jobs, self.tracker, self.orders)
         self.planner = Planner(term, self.jobs, self.tracker)
-        self.emptier = Emptier(term, self.jobs, self.tracker, self.orders, self.planner)
-        self.emptier.hints = self.scheduler.hints
+        self.emptier = Emptier(term, self.jobs, self.tracker, self.orders, self.planner, self.scheduler.hints)
 
     @property
     def book(self) -> Book:
