--- a/flaxtally/dispatch.py
+++ b/flaxtally/dispatch.py
@@ -58,8 +58,9 @@
         self._zones = {settings.node: settings.zone, **{name: zone for name, (zone, _) in settings.peers.items()}}
         self._owners: dict[str, str | None] = {}
         self._owners_of: list[str] = []
-        self._ids = itertools.count(1)
-        self._carried: dict[int, tuple[Told, Timer]] = {}
+        self._ids = itertools.count(election.life)
+        self._carried: dict[int, tuple[str, Told, Timer]] = {}
+        """By number: who was asked to carry the orders."""
         self.every(settings.lease_s, self._tidy)
 
     def deliver_to(self, deliver: Callable[[str, wire.Report], None]) -> None:
@@ -142,7 +143,7 @@
             return
         number = next(self._ids)
         timer = self.later(self._policy.order_call * 1.25, self._uncarried, number)
-        self._carried[number] = (done, timer)
+        self._carried[number] = (server, done, timer)
         self._peers.send(server, {"k": "ord", "i": number, "a": address, "o": body})
 
     def _send(self, address: str, body: dict[str, Any] | None, done: Told) -> None:
@@ -154,7 +155,7 @@
     def _uncarried(self, number: int) -> None:
         entry = self._carried.pop(number, None)
         if entry is not None:
-            entry[0](0, b"")
+            entry[1](0, b"")
 
     def order(self, sender: str, frame: Frame) -> None:
         """The leader asks this part to carry orders. Late ones are harmless: they name term and session."""
@@ -171,7 +172,11 @@
         self._send(address, body, told)
 
     def carried(self, sender: str, frame: Frame) -> None:
-        entry = self._carried.pop(frame.get("i", 0), None)
-        if entry is not None:
-            entry[1].cancel()
-            entry[0](int(frame.get("s", 0)), bytes(frame.get("b", b"")))
+        number = frame.get("i", 0)
+        entry = self._carried.get(number)
+        if entry is None or entry[0] != sender:
+            return
+        del self._carried[number]
+        _, done, timer = entry
+        timer.cancel()
+        done(int(frame.get("s", 0)), bytes(frame.get("b", b"")))
--- a/flaxtally/election.py
+++ b/flaxtally/election.py
@@ -38,7 +38,13 @@
         self._lead, self._follow = lead, follow
         self._boot = f"{rng.getrandbits(64):016x}"
         self._started = runtime.now()
+        self.life = int(self._boot, 16) >> 2
+        """A number of this life of the process alone: what it numbers begins there, so that no answer to a former
+        life is taken for one to this."""
         self.term = 0
+        self._led = 0
+        """The last term that this life has led. One that it gave up it never takes up again: launches of it may still
+        be on their way under the same token, so a report that lacks one would prove nothing."""
         self.leader: str | None = None
         self.leading = False
         self.ready = False
@@ -183,7 +189,7 @@
             return
         if term < self.term:
             return
-        if mine and node == self._node:
+        if mine and term > self._led:
             # Our own takeover was applied although its answer was lost.
             self._won(term, row.version)
             return
@@ -267,6 +273,7 @@
 
     def _won(self, term: int, version: int) -> None:
         log.info("event=lead node=%s term=%d", self._node, term)
+        self._led = term
         self.term, self.leader, self.version = term, self._node, version
         self.leading, self.ready, self._key_mine_of_old = True, False, False
         self._key_known = False
--- a/flaxtally/fleet.py
+++ b/flaxtally/fleet.py
@@ -7,14 +7,17 @@
 from . import wire
 from .ledger.book import Placement
 
+DEAF_AFTER = 2
+"""Orders in a row without an answer."""
+
 
 class Machine:
     """A machine that the leader knows. `baseline`: it has reported under the present token."""
 
     __slots__ = (
-        "address", "baseline", "booting", "cores", "draining", "errors", "failed_probes", "gpus", "heard_at",
-        "idle_since", "images", "kind", "name", "notice_until", "orders_failed", "placements", "probing", "ram",
-        "release_tried", "releasing", "rented_at", "sequence", "server", "session", "slow", "spot", "zone",
+        "address", "baseline", "booting", "cores", "draining", "errors", "failed_probes", "glimpsed", "gpus",
+        "heard_at", "idle_since", "images", "kind", "name", "notice_until", "orders_failed", "placements", "probing",
+        "ram", "release_tried", "releasing", "rented_at", "sequence", "server", "session", "slow", "spot", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str, kind: str, zone: str, spot: bool, now: float) -> None:
@@ -24,6 +27,8 @@
         self.booting = True
         self.baseline = False
         self.session = self.sequence = 0
+        self.glimpsed = (0, 0)
+        """Session and sequence of its newest report under an older token."""
         self.heard_at = self.rented_at = now
         self.idle_since = now
         self.notice_until: float | None = None
@@ -40,6 +45,11 @@
         self.placements: dict[tuple[int, int], Placement] = {}
         self.cores = self.gpus = self.ram = 0.0
 
+    @property
+    def deaf(self) -> bool:
+        """Orders get no answer: what it reports may be well, but nothing can be placed there."""
+        return self.orders_failed >= DEAF_AFTER
+
     def newer(self, session: int, sequence: int) -> bool:
         return (session, sequence) > (self.session, self.sequence)
 
--- a/flaxtally/http.py
+++ b/flaxtally/http.py
@@ -119,6 +119,11 @@
         self.method, self.path = message.start[0], message.start[1]
         self.body = message.body
 
+    @property
+    def far(self) -> str:
+        """The host that asks."""
+        return self._conn.far if self._conn is not None else ""
+
     def reply(self, status: int, body: Any = None, retry_after: int | None = None) -> None:
         if self._conn is not None:
             conn, self._conn = self._conn, None
@@ -136,6 +141,10 @@
         self._timer = server.runtime.after(server.patience, self._slow)
         stream.on_data, stream.on_close = self._data, self._closed
 
+    @property
+    def far(self) -> str:
+        return self._stream.far
+
     def _data(self, data: bytes) -> None:
         self._parser.feed(data)
         if not self._busy:
--- a/flaxtally/intake.py
+++ b/flaxtally/intake.py
@@ -25,12 +25,17 @@
 
 
 class _Question:
-    """A question passed to the leader of a term, until it is answered or its time is over."""
+    """A question passed to the leader of a term, until it is answered or its time is over.
 
-    __slots__ = ("answer", "subject", "term", "timer", "what")
+    Each time it is passed it gets a new number: an answer counts only if it is the asked leader's to that."""
 
-    def __init__(self, what: str, subject: str | bytes, answer: Answer, timer: Timer, term: int) -> None:
-        self.what, self.subject, self.answer, self.timer, self.term = what, subject, answer, timer, term
+    __slots__ = ("answer", "asked", "number", "subject", "term", "timer", "what")
+
+    def __init__(self, what: str, subject: str | bytes, answer: Answer) -> None:
+        self.what, self.subject, self.answer = what, subject, answer
+        self.number = self.term = 0
+        self.asked: str | None = None
+        self.timer: Timer | None = None
 
 
 class Intake(Actor):
@@ -44,7 +49,7 @@
         super().__init__(runtime)
         self._most = most
         self._policy, self._election, self._peers, self._leader, self._beat = policy, election, peers, leader, beat
-        self._ids = itertools.count(1)
+        self._ids = itertools.count(election.life)
         self._asked: dict[int, _Question] = {}
         self.every(policy.heartbeat / 2, self._renew)
 
@@ -119,14 +124,16 @@
         if leader is None or not self._peers.direct(leader) or not election.able or len(self._asked) >= self._most:
             answer(503, None)
             return
-        number = next(self._ids)
-        timer = self.later(self._policy.ask, self._unanswered, number)
-        self._asked[number] = _Question(what, subject, answer, timer, election.term)
-        self._pass(number)
-
-    def _pass(self, number: int) -> None:
-        question, election = self._asked[number], self._election
-        question.term = election.term
+        question = _Question(what, subject, answer)
+        question.timer = self.later(self._policy.ask, self._unanswered, question)
+        self._pass(question)
+
+    def _pass(self, question: _Question) -> None:
+        election = self._election
+        self._asked.pop(question.number, None)
+        number = question.number = next(self._ids)
+        self._asked[number] = question
+        question.term, question.asked = election.term, election.leader
         if election.leading:
             self._serve(question.what, question.subject, lambda status, body: self._told(number, status, body))
         elif election.leader is not None:
@@ -137,23 +144,23 @@
         """Questions that went to a leader that is none any more are passed to its successor."""
         served = self._election.served_term
         if served:
-            for number in [number for number, question in self._asked.items() if question.term < served]:
-                self._pass(number)
+            for question in [question for question in self._asked.values() if question.term < served]:
+                self._pass(question)
 
-    def _unanswered(self, number: int) -> None:
-        if number in self._asked:
-            self._asked[number].timer.cancel()
-            self._told(number, 503, None)
+    def _unanswered(self, question: _Question) -> None:
+        question.timer = None
+        self._told(question.number, 503, None)
 
     def _told(self, number: int, status: int, body: Any) -> None:
         question = self._asked.get(number)
         if question is None:
             return
-        if status == 503 and question.term < self._election.term and question.timer.live:
+        if status == 503 and question.term < self._election.term and question.timer is not None:
             # Its leader gave up leading; the successor is asked as soon as it is ready.
             return
         del self._asked[number]
-        question.timer.cancel()
+        if question.timer is not None:
+            question.timer.cancel()
         question.answer(status, body)
 
     def asked(self, sender: str, frame: Frame) -> None:
@@ -169,7 +176,10 @@
             answer(503, None)
 
     def answered(self, sender: str, frame: Frame) -> None:
-        self._told(frame.get("i", 0), int(frame.get("s", 503)), frame.get("b"))
+        number = frame.get("i", 0)
+        question = self._asked.get(number)
+        if question is not None and question.asked == sender:
+            self._told(number, int(frame.get("s", 503)), frame.get("b"))
 
     def _serve(self, what: str, subject: Any, answer: Answer) -> None:
         if what == "submit" and isinstance(subject, bytes):
--- a/flaxtally/lead/orders.py
+++ b/flaxtally/lead/orders.py
@@ -41,6 +41,7 @@
         self.carrier = carrier
         self.deliver: Callable[[str, wire.Report], None] = lambda *_: None
         self._outbox: dict[str, list[tuple[dict[str, Any], Placement | None]]] = {}
+        self._knocked: dict[str, float] = {}
 
     def order(self, machine: Machine, order: dict[str, Any], launched: Placement | None) -> None:
         if not self._outbox:
@@ -68,7 +69,8 @@
         outbox, self._outbox = self._outbox, {}
         for name, entries in outbox.items():
             machine = self.fleet.machines.get(name)
-            if machine is None:
+            if machine is None or not machine.address:
+                # Of an earlier term, not heard in this yet: its first report has the stops sent again.
                 continue
             # A placement may have been proven over while its launch waited here.
             entries = [
@@ -113,6 +115,14 @@
             return
         self.deliver(server or "", report)
 
+    def knock(self, machine: Machine) -> None:
+        """An empty order, one at a time: does the machine answer again?"""
+        now = self.runtime.now()
+        self._knocked = {name: at for name, at in self._knocked.items() if now - at < 1.5 * self.policy.order_call}
+        if machine.name not in self._knocked:
+            self._knocked[machine.name] = now
+            self.push_token(machine)
+
     def push_token(self, machine: Machine) -> None:
         """An empty order: it raises the worker's token, and its answer is the baseline."""
         if machine.address:
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -74,7 +74,6 @@
         now, policy = self.runtime.now(), self.policy
         if now - self.term.began < policy.settle / 4 and self.ledger.book.jobs and self.fleet.machines:
             return None
-        self.ledger.clean()
         self._turns += 1
         if self._turns % 10 == 0:
             self._log_fleet(now)
@@ -205,7 +204,7 @@
         last = at >= self._steps()[-1]
         for machine in self.fleet.machines.values():
             kind = self.term.kinds.get(machine.kind)
-            if kind is None or machine.draining or machine.releasing or machine.slow:
+            if kind is None or machine.draining or machine.releasing or machine.slow or machine.deaf:
                 continue
             asked = now - machine.rented_at
             if machine.booting and (asked > 2 * kind.boot or not (last or kind.boot - asked <= at)):
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -41,6 +41,11 @@
             machine.kind, machine.spot = report.type, report.spot
         if not machine.newer(report.session, report.sequence):
             return
+        if report.token != self.term.number:
+            # A copy that comes after newer ones says nothing, not even that the machine is alive.
+            if (report.session, report.sequence) <= machine.glimpsed:
+                return
+            machine.glimpsed = report.session, report.sequence
         if machine.booting:
             machine.booting = False
             machine.idle_since = now
@@ -189,7 +194,7 @@
         """Whether something may be placed there now."""
         return (
             machine.baseline and not machine.draining and not machine.releasing and machine.kind in self.term.kinds
-            and self.runtime.now() - machine.heard_at < self.policy.machine_suspect and machine.orders_failed < 2
+            and self.runtime.now() - machine.heard_at < self.policy.machine_suspect and not machine.deaf
         )  # fmt: skip
 
     def watch(self) -> None:
@@ -221,6 +226,9 @@
                     self.release(machine, f"silent for {age:.1f}s")
             elif machine.draining and not machine.placements and machine.baseline:
                 self.release(machine, "drained")
+            elif machine.deaf:
+                # Nothing else is sent there: without this it would be passed over for ever.
+                self.orders.knock(machine)
 
     def _dark_zones(self, now: float) -> set[str]:
         """Zones in which most machines fell silent together: that is the network or a controller, and the
@@ -288,23 +296,28 @@
         self._exits = {key: placed for key, placed in self._exits.items() if key[0] != name}
         self.term.kick()
 
-    def _unlisted(self, listed: set[str]) -> None:
+    def _unlisted(self, listed: set[str], asked_at: float) -> None:
         """Machines that the ledger places tasks on, that no report of this term came from, and that the cloud no
         longer lists: an earlier leader released them and could not commit it. The list proves nothing; the
-        release's answer will."""
+        release's answer will. One that is newer than the list is old works, and is not listed yet: names are in the
+        order of creation, and after twice the lag all of the earlier leader's are listed."""
+        late_enough = asked_at - self.term.began > 2 * self.settings.list_lag_s
+        newest = max(listed, default="")
         for machine in self.fleet.machines.values():
             silent = not machine.baseline and not machine.kind and not machine.releasing
-            if silent and machine.placements and machine.name not in listed:
+            missing = machine.name not in listed and (late_enough or machine.name < newest)
+            if silent and machine.placements and missing:
                 self.release(machine, "placed on by an earlier leader, silent and not listed")
 
     def list_machines(self) -> None:
         """Asks the cloud for its list, which lags: it finds machines, and never proves one gone."""
+        asked_at = self.runtime.now()
 
         def told(listed: list[wire.Listed] | None) -> None:
             if listed is None or not self.term.active:
                 return
             now = self.runtime.now()
-            self._unlisted({entry.machine for entry in listed})
+            self._unlisted({entry.machine for entry in listed}, asked_at)
             for entry in listed:
                 if entry.machine in self.fleet.gone:
                     continue
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -132,6 +132,8 @@
             self.emptier.move_on(self.runtime.now())
             self.tracker.flush_releases()
             self.scheduler.wake()
+            # With each plan alone it fell behind where jobs are many and short.
+            self._ledger.clean()
 
     def _plan(self) -> None:
         demands = self.planner.plan() if self.term.active else None
--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -20,6 +20,7 @@
 from ..actor import Actor
 from ..cloud import Bucket
 from ..election import LEAD
+from ..http import pack
 from ..loop import Runtime
 from ..store import Outcome, Store
 from .book import Book, Record
@@ -28,6 +29,10 @@
 
 PAGES = "p/"
 TXN_BYTES = 56 * 1024
+FEW_PAGES = 8
+"""Not worth cleaning."""
+ORIGIN = 0
+"""An empty page, created with the first records and never dropped: its guard "does not exist" holds just once."""
 Then = Callable[[], None]
 
 
@@ -88,11 +93,18 @@
             if rows is None:
                 self.later(self._retry, read)
                 return
-            for row in rows:
-                number = int(row.key[len(PAGES) :])
-                self._pages[number] = row.version
-                for record in row.value["r"]:
-                    self.book.replay(record, number)
+            try:
+                for row in rows:
+                    number = int(row.key[len(PAGES) :])
+                    self._pages[number] = row.version
+                    for record in row.value["r"]:
+                        self.book.replay(record, number)
+            except Exception as fault:
+                # To serve without a part of it could start a task twice: nothing is served until it is mended.
+                log.error("event=ledger_damaged page=%s why=%r", row.key, fault)
+                self._reset(version)
+                self.later(10 * self._retry, self._open_again, self.generation, version, ready)
+                return
             for job in self.book.jobs.values():
                 job.committed = True
                 job.ending = job.cancelled
@@ -100,12 +112,16 @@
                 job.told = wire.DONE if job.done else wire.ABORTED if job.cancelled and not job.placed else ""
                 for placement in job.placed.values():
                     placement.committed = placement.inherited = True
-            self._filling = max(self._pages, default=0) + 1
+            self._filling = max(self._pages, default=ORIGIN) + 1
             log.info("event=ledger_read pages=%d jobs=%d", len(rows), len(self.book.jobs))
             ready()
 
         read()
 
+    def _open_again(self, generation: int, version: int, ready: Then) -> None:
+        if generation == self.generation:
+            self.open(version, ready)
+
     def propose(self, record: Record, then: Then | None = None) -> None:
         """Applies the record to the book and commits it soon; `then` follows the commit."""
         size = self._room(record)
@@ -131,12 +147,15 @@
         """Cleans the oldest page when the pages hold much more than what they still mean.
 
         A crash between the new records and the drop leaves both: replay takes the later ones."""
-        oldest = min(self._pages, default=self._filling)
-        few = 8 + 2 * self.book.weight() // self._page_bytes
+        if len(self._pages) <= FEW_PAGES:
+            return
+        oldest = min((page for page in self._pages if page != ORIGIN), default=self._filling)
+        few = FEW_PAGES + 2 * self.book.weight() // self._page_bytes
         if self._cleaning or self._queue or self._busy or len(self._pages) <= few or oldest >= self._filling - 1:
             return
         at_home = [job for job in self.book.jobs.values() if job.home == oldest]
-        if any(job.final and not job.told for job in at_home):
+        if any(job.final and not job.placed and not job.told for job in at_home):
+            # Its end is about to be told. (A cancelled job that still has placements is said anew like any other.)
             return
         self._cleaning = True
         log.info("event=clean page=%d of=%d jobs=%d", oldest, len(self._pages), len(at_home))
@@ -202,6 +221,16 @@
         for page, records in pages.items():
             guards[page_key(page)] = self._pages.get(page, 0)
             puts[page_key(page)] = {"r": records}
+        created = [page for page in pages if page not in self._pages]
+        if created and not self._pages:
+            guards[page_key(ORIGIN)] = 0
+            puts[page_key(ORIGIN)] = {"r": []}
+            created.append(ORIGIN)
+        elif created:
+            # "Does not exist" would hold again once the new page was cleaned away, and a late copy of this transaction
+            # would bring its records back. The page before it, which is final and goes first, tells the two apart.
+            before = max(page for page in self._pages if page < min(created))
+            guards.setdefault(page_key(before), self._pages[before])
         drops = [page_key(page) for page in self._drops]
         for page in self._drops:
             guards[page_key(page)] = self._pages.pop(page)
@@ -211,7 +240,8 @@
             self._content_page = max(pages)
             self._content = pages[self._content_page]
         self._busy = True
-        self._send(generation, guards, puts, drops, list(pages), False)
+        numbers = [ORIGIN, *pages] if ORIGIN in created else list(pages)
+        self._send(generation, guards, puts, drops, numbers, False)
 
     _content_page = 0
 
@@ -251,7 +281,8 @@
                 return
             if not known:
                 self.later(self._retry, self._read_back, generation, guards, puts, drops, pages)
-            elif row is not None and row.version != guards[key] and row.value == puts.get(key):
+            elif row is not None and row.version != guards[key] and pack(row.value) == pack(puts.get(key)):
+                # A transaction is atomic, and each puts a record that no earlier one did: one page tells for all.
                 self._committed(pages, row.version)
             elif row is None and not pages:
                 self._committed(pages, 0)
--- a/flaxtally/loop.py
+++ b/flaxtally/loop.py
@@ -42,6 +42,8 @@
 
     on_data: Callable[[bytes], None]
     on_close: Callable[[], None]
+    far: str
+    """The host at the other end."""
 
     def send(self, data: bytes) -> None: ...
 
@@ -71,10 +73,10 @@
 class SocketStream:
     """A non-blocking TCP socket on the loop."""
 
-    __slots__ = ("_events", "_loop", "_open", "_out", "_sock", "on_close", "on_data")
+    __slots__ = ("_events", "_loop", "_open", "_out", "_sock", "far", "on_close", "on_data")
 
-    def __init__(self, loop: Loop, sock: socket.socket, connected: bool) -> None:
-        self._loop, self._sock, self._open = loop, sock, connected
+    def __init__(self, loop: Loop, sock: socket.socket, far: str, connected: bool) -> None:
+        self._loop, self._sock, self.far, self._open = loop, sock, far, connected
         self._out = bytearray()
         self.on_data: Callable[[bytes], None] = _nothing
         self.on_close: Callable[[], None] = _nothing
@@ -181,12 +183,12 @@
             # Many at a time: when all workers come back at once, one a turn lets the rest wait for too long.
             for _ in range(ACCEPTS):
                 try:
-                    peer, _address = sock.accept()
+                    peer, (far, *_) = sock.accept()
                 except OSError as fault:
                     if fault.errno in (errno.EMFILE, errno.ENFILE):
                         log.warning("no sockets left to accept with")
                     return
-                accept(self._stream(peer, True))
+                accept(self._stream(peer, far, True))
 
         self.selector.register(sock, selectors.EVENT_READ, ready)
 
@@ -194,15 +196,15 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.connect_ex(address)
-        return self._stream(sock, False)
+        return self._stream(sock, address[0], False)
 
-    def _stream(self, sock: socket.socket, connected: bool) -> SocketStream:
+    def _stream(self, sock: socket.socket, far: str, connected: bool) -> SocketStream:
         sock.setblocking(False)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
             log.debug("no TCP_NODELAY here")
-        return SocketStream(self, sock, connected)
+        return SocketStream(self, sock, far, connected)
 
     def run(self) -> None:
         self._running = True
--- a/flaxtally/standin/cloud.py
+++ b/flaxtally/standin/cloud.py
@@ -27,6 +27,12 @@
         self._answers: dict[str, list[str]] = {}
         self.down = False
         self.boots_fail = False
+        self.boot: float | None = None
+        """Seconds that every machine rented from now on takes to boot; None: about its type's boot time."""
+        self.lag = 0.0
+        """The list is that much old, at times twice."""
+        self._up_at: dict[str, float] = {}
+        self._gone: dict[str, tuple[float, wire.Listed]] = {}
         self.asked: list[str] = []
         """The rental requests that came, in order, repeats too."""
         self._count = 0
@@ -47,10 +53,20 @@
         elif request.method == "POST":
             self._rent(request, msgspec.msgpack.decode(request.body, type=wire.Rental))
         else:
-            now = self._runtime.now()
-            for name, machine in self.machines.items():
-                machine.age = now - self._asked_at[name]
-            request.reply(200, wire.Listing(list(self.machines.values())))
+            request.reply(200, wire.Listing(self._list()))
+
+    def _list(self) -> list[wire.Listed]:
+        """The machines as they were a while ago, in the order of their names."""
+        then = self._runtime.now() - (self.lag * self._rng.uniform(1, 2) if self.lag else 0.0)
+        known = dict(self.machines)
+        known.update({name: machine for name, (at, machine) in self._gone.items() if at > then})
+        listed = []
+        for name, machine in sorted(known.items()):
+            if self._asked_at[name] <= then:
+                up = self._up_at.get(name, float("inf")) <= then
+                state = machine.state if up or machine.state == wire.FAILED else wire.BOOTING
+                listed.append(msgspec.structs.replace(machine, age=then - self._asked_at[name], state=state))
+        return listed
 
     def _rent(self, request: Request, rental: wire.Rental) -> None:
         if rental.request not in self._answers:
@@ -72,6 +88,7 @@
         self._asked_at[name] = self._runtime.now()
         if not self.boots_fail:
             nominal = next(entry.boot for entry in self._types if entry.name == kind)
+            boot = self.boot if boot is None else boot
             self._runtime.after(nominal * self._rng.uniform(0.6, 1.5) if boot is None else boot, self._up, name)
         return name
 
@@ -79,9 +96,12 @@
         machine = self.machines.get(name)
         if machine is not None:
             machine.state = "running"
+            self._up_at[name] = self._runtime.now()
             self._start(machine)
 
     def take(self, name: str) -> None:
         """The machine and everything on it are gone."""
-        if self.machines.pop(name, None) is not None:
+        machine = self.machines.pop(name, None)
+        if machine is not None:
+            self._gone[name] = self._runtime.now(), machine
             self._end(name)
--- a/flaxtally/standin/state.py
+++ b/flaxtally/standin/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -15,11 +16,20 @@
 class StateService:
     """Keys with versions, transactions, leases. `down` answers 503 to everything."""
 
-    def __init__(self, runtime: Runtime, address: Address) -> None:
-        self._runtime = runtime
+    def __init__(self, runtime: Runtime, address: Address, rng: random.Random | None = None) -> None:
+        self._runtime, self._rng = runtime, rng or random.Random()
         self.rows: dict[str, tuple[Any, int, int | None]] = {}
         self.revision = 0
         self.down = False
+        self.refused: set[str] = set()
+        """Hosts that get 503 while all others are served."""
+        self.lost_share = 0.0
+        """Of the transactions: that share gets no answer, and is carried out `lost_delay` seconds later."""
+        self.lost_delay = (2.0, 12.0)
+        self.late: list[int] = []
+        """How those came out that got no answer."""
+        self.slow = 0.0
+        """How much later everything is carried out and answered."""
         self.refuse_changes = False
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1
@@ -27,7 +37,13 @@
         Server(runtime, address, self._handle, 1000, 600.0, 1.0)
 
     def _handle(self, request: Request) -> None:
-        if self.down:
+        if self.slow:
+            self._runtime.after(self.slow * self._rng.uniform(0.5, 1.5), self._serve, request)
+        else:
+            self._serve(request)
+
+    def _serve(self, request: Request) -> None:
+        if self.down or request.far in self.refused:
             request.reply(503, {"error": "trouble"})
             return
         self._expire()
@@ -77,9 +93,16 @@
         request.reply(200, wire.Rows(found, len(keys) > most))
 
     def _txn(self, request: Request) -> None:
-        status, body = self.transact(msgspec.msgpack.decode(request.body, type=wire.Txn))
+        txn = msgspec.msgpack.decode(request.body, type=wire.Txn)
+        if self.lost_share and txn.apply and self._rng.random() < self.lost_share:
+            self._runtime.after(self._rng.uniform(*self.lost_delay), self._late, txn)
+            return
+        status, body = self.transact(txn)
         request.reply(status, body)
 
+    def _late(self, txn: wire.Txn) -> None:
+        self.late.append(self.transact(txn)[0])
+
     def transact(self, txn: wire.Txn) -> tuple[int, Any]:
         if any(change.put and change.lease is not None and change.lease not in self._leases for change in txn.apply):
             return 400, {"error": "no such lease"}
--- a/flaxtally/standin/worker.py
+++ b/flaxtally/standin/worker.py
@@ -38,6 +38,12 @@
         self.session, self._sequence, self.token = 1, 0, 0
         self.notice: float | None = None
         self.hung = self._off = False
+        self.deaf = False
+        """Its reports arrive; answers and direct orders to it are lost."""
+        self.mute = False
+        """It reaches no controller; direct orders reach it."""
+        self.copy: Callable[[str, wire.Report], None] = lambda *_: None
+        """Sees each report that is sent, and to which node."""
         self.slowness = 1.0
         self._renewed = runtime.now()
         self._images: set[str] = set()
@@ -84,6 +90,8 @@
 
         def told(reply: Reply) -> None:
             self._busy = False
+            if self.deaf:
+                reply = Reply(0)
             delay = self._report_s * self._rng.uniform(0.75, 1.25)
             if reply.status == 200 and not self.hung:
                 answer = msgspec.msgpack.decode(reply.body, type=wire.Orders)
@@ -100,7 +108,12 @@
                 self._at, delay = self._other(node), 1.0
             self._due(delay)
 
-        self._clients[node].request("POST", wire.BEAT, self.report(), 4.0, told)
+        if self.mute:
+            self._runtime.after(1.0, told, Reply(0))
+            return
+        report = self.report()
+        self.copy(node, report)
+        self._clients[node].request("POST", wire.BEAT, report, 4.0, told)
 
     def _other(self, node: str) -> str:
         names = sorted(self._nodes)
@@ -123,7 +136,7 @@
     # Orders
 
     def _direct(self, request: Request) -> None:
-        if self._off:
+        if self._off or self.deaf:
             return
         if self.hung:
             # The order waits in the hung machine and is executed when it goes on.
@@ -184,9 +197,16 @@
         self._watch("start", self.machine.machine, held.task, held.attempt)
         length = self._run_time(held.task.partition("/")[0])
         if length is not None:
-            held.timer = self._runtime.after(length * self.slowness, self._exit, held, wire.CAUSE_DONE)
+            held.timer = self._runtime.after(length * self.slowness, self._complete, held)
         self.changed()
 
+    def _complete(self, held: Held) -> None:
+        if self.hung:
+            # What hangs gets nothing done.
+            held.timer = self._runtime.after(0.5, self._complete, held)
+        else:
+            self._exit(held, wire.CAUSE_DONE)
+
     def _exit(self, held: Held, cause: str) -> None:
         if held.state == wire.EXITED:
             return
--- /dev/null
+++ b/tests/rules.py
@@ -0,0 +1,204 @@
+"""The protocol's rules, checked from outside: by what workers run, users are told and the cloud takes back.
+
+Knows nothing of the code under test. A broken rule is kept in `broken`; the world ends the test with it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from flaxtally import wire
+from flaxtally.settings import Team
+
+FINAL = (wire.DONE, wire.ABORTED)
+UNANSWERED_S = 75.0
+WAITING_S = 90.0
+SLACK = 1e-6
+
+
+class _Job:
+    """What its user knows of a job, and what became of its tasks."""
+
+    def __init__(self, spec: wire.Spec | None) -> None:
+        self.spec = spec
+        self.submitted = self.accepted = self.asked_to_cancel = False
+        self.told: str | None = None
+        self.told_at = self.accepted_at = float("inf")
+        self.done: set[str] = set()
+        self.answered_at = 0.0
+        self.waits_since: float | None = None
+
+
+class Rules:
+    """Owns the outside view: who runs where, and what was answered when."""
+
+    def __init__(self, teams: dict[str, Team], types: Iterable[wire.MachineType], cancel_s: float) -> None:
+        self.teams, self.types, self.cancel_s = teams, {kind.name: kind for kind in types}, cancel_s
+        self.jobs: dict[str, _Job] = {}
+        self.on: dict[str, tuple[wire.Listed, int]] = {}
+        """Where each task is that is on a machine, also while that hangs or can't be reached."""
+        self.used: dict[str, list[float]] = {}
+        self.broken: list[str] = []
+        self.crossed = 0
+        """Answers older than one given before them, to questions asked before that one was given."""
+
+    def breaks(self, rule: str, what: str, at: float) -> None:
+        self.broken.append(f"{at:.2f} {rule}: {what}")
+
+    def job(self, ref: str) -> _Job:
+        return self.jobs.setdefault(ref, _Job(None))
+
+    # Machines
+
+    def starts(self, task: str, attempt: int, machine: wire.Listed, now: float) -> None:
+        job = self.job(task.partition("/")[0])
+        spec = job.spec
+        if task in self.on:
+            self.breaks("ran_twice", f"{task} on {self.on[task][0].machine} and {machine.machine}", now)
+        if job.told == wire.ABORTED:
+            self.breaks("started_cancelled", f"{task}, its user was told at {job.told_at:.2f}", now)
+        if spec is None:
+            self.breaks("nobody_asked", task, now)
+            return
+        self._place(task, spec, machine, now)
+        self.on[task] = machine, attempt
+        used = self.used.setdefault(spec.team, [0.0, 0.0])
+        used[0] += spec.cores
+        used[1] += spec.gpus
+        team = self.teams[spec.team]
+        if (team.cores_max and used[0] > team.cores_max + SLACK) or (team.gpus_max and used[1] > team.gpus_max + SLACK):
+            self.breaks("quota", f"{spec.team} uses {used}", now)
+
+    def _place(self, task: str, spec: wire.Spec, machine: wire.Listed, now: float) -> None:
+        zones = [there.zone for other, (there, _) in self.on.items() if other.startswith(spec.ref + "/")]
+        wrong = (
+            (spec.types is not None and machine.type not in spec.types) or (spec.zone not in (None, machine.zone))
+            or (machine.spot and not spec.spot) or (spec.one_zone and any(zone != machine.zone for zone in zones))
+            or (spec.spread and zones.count(machine.zone) + 1 > (spec.tasks + 1) // 2)
+        )  # fmt: skip
+        if wrong:
+            self.breaks("wrong_place", f"{task} on {machine.type} {machine.zone} spot={machine.spot}", now)
+
+    def ends(self, task: str, attempt: int, machine: str, done: bool) -> None:
+        there = self.on.get(task)
+        if there is None or (there[0].machine, there[1]) != (machine, attempt):
+            return
+        del self.on[task]
+        job = self.job(task.partition("/")[0])
+        assert job.spec is not None
+        self.used[job.spec.team][0] -= job.spec.cores
+        self.used[job.spec.team][1] -= job.spec.gpus
+        if done:
+            job.done.add(task)
+
+    # Users
+
+    def submits(self, spec: wire.Spec) -> None:
+        job = self.job(spec.ref)
+        job.spec, job.submitted = job.spec or spec, True
+
+    def asks_to_cancel(self, ref: str) -> None:
+        self.job(ref).asked_to_cancel = True
+
+    def answered(self, what: str, ref: str, asked_at: float, now: float, status: int, body: Any) -> None:
+        """An answer as it reached its user. `what`: submit, poll or cancel."""
+        job = self.job(ref)
+        if status in (200, 201):
+            job.answered_at = now
+            if not job.submitted:
+                self.breaks("invented", f"{what} of {ref}", now)
+                return
+            if body["ref"] != ref:
+                self.breaks("wrong_job", f"{what} of {ref} is answered about {body['ref']}", now)
+                return
+            self._told(job, ref, asked_at, now, body["stage"])
+            if what == "submit" and not job.accepted:
+                job.accepted, job.accepted_at = True, now
+                why = self._cannot_run(job.spec)
+                if why:
+                    self.breaks("accepted", f"{ref}: {why}", now)
+        elif asked_at >= job.accepted_at and (status == 404 or (what == "submit" and status in (400, 422))):
+            self.breaks("forgotten", f"{what} of {ref} answered {status}", now)
+
+    def _told(self, job: _Job, ref: str, asked_at: float, now: float, stage: str) -> None:
+        assert job.spec is not None
+        if job.told is not None and stage != job.told:
+            if asked_at >= job.told_at or stage in FINAL:
+                self.breaks("went_back", f"{ref} was {job.told}, then {stage}", now)
+            else:
+                self.crossed += 1
+        if stage == wire.ABORTED and not job.asked_to_cancel:
+            self.breaks("went_back", f"{ref} is called cancelled, and its user did not ask", now)
+        if stage == wire.DONE and (job.spec.kind == wire.SERVICE or len(job.done) < job.spec.tasks):
+            self.breaks("not_done", f"{ref} with {len(job.done)} of {job.spec.tasks}", now)
+        if stage in FINAL and job.told is None:
+            job.told, job.told_at = stage, now
+
+    def _cannot_run(self, spec: wire.Spec | None) -> str | None:
+        if spec is None:
+            return "lacks a field"
+        team = self.teams.get(spec.team)
+        if team is None:
+            return "unknown team"
+        count = 1 if spec.kind == wire.ARRAY else spec.tasks
+        if (team.cores_max and spec.cores * count > team.cores_max) or (
+            team.gpus_max and spec.gpus * count > team.gpus_max
+        ):
+            return "beyond its team's limit"
+        fits = any(
+            kind.cores >= spec.cores and kind.gpus >= spec.gpus and kind.ram >= spec.ram
+            and (spec.types is None or kind.name in spec.types) and (spec.zone is None or spec.zone in kind.zones)
+            for kind in self.types.values()
+        )  # fmt: skip
+        return None if fits else "fits no machine"
+
+    # What time alone breaks
+
+    def look(self, now: float) -> None:
+        """At any moment: what is left of jobs that were told as cancelled."""
+        for task, (machine, _) in self.on.items():
+            job = self.job(task.partition("/")[0])
+            if job.told == wire.ABORTED and now > job.told_at + self.cancel_s:
+                self.breaks("ran_cancelled", f"{task} on {machine.machine}, told at {job.told_at:.2f}", now)
+
+    def look_when_calm(self, now: float, calm_since: float, machines: list[tuple[wire.Listed, set[str]]]) -> None:
+        """Once all troubles are over. `machines`: those that are up, and the tasks on each, with those that fetch."""
+        held = {task for _, tasks in machines for task in tasks}
+        rooms = [(machine, self._room(machine, tasks)) for machine, tasks in machines]
+        for ref, job in self.jobs.items():
+            spec = job.spec
+            if not job.accepted or spec is None or job.told is not None:
+                continue
+            if now - max(job.answered_at, calm_since) > UNANSWERED_S:
+                self.breaks("forgotten", f"no question about {ref} is answered", now)
+            tasks = {f"{ref}/{number}" for number in range(spec.tasks)} - job.done - held
+            if job.asked_to_cancel or not tasks or not self._could_start(spec, rooms):
+                job.waits_since = None
+            elif job.waits_since is None:
+                job.waits_since = now
+            elif now - max(job.waits_since, calm_since) > WAITING_S:
+                self.breaks("left_waiting", f"{ref} while a machine fits", now)
+
+    def _room(self, machine: wire.Listed, tasks: set[str]) -> tuple[float, float, float]:
+        kind, specs = self.types[machine.type], [self.job(task.partition("/")[0]).spec for task in tasks]
+        return (
+            kind.cores - sum(spec.cores for spec in specs if spec),
+            kind.gpus - sum(spec.gpus for spec in specs if spec),
+            kind.ram - sum(spec.ram for spec in specs if spec),
+        )
+
+    def _could_start(self, spec: wire.Spec, rooms: list[tuple[wire.Listed, tuple[float, float, float]]]) -> bool:
+        team, used = self.teams[spec.team], self.used.get(spec.team, [0.0, 0.0])
+        if (team.cores_max and used[0] + spec.cores > team.cores_max) or (
+            team.gpus_max and used[1] + spec.gpus > team.gpus_max
+        ):
+            return False
+        zones = [there.zone for other, (there, _) in self.on.items() if other.startswith(spec.ref + "/")]
+        return any(
+            room[0] >= spec.cores and room[1] >= spec.gpus and room[2] >= spec.ram
+            and (spec.types is None or machine.type in spec.types) and spec.zone in (None, machine.zone)
+            and (spec.spot or not machine.spot) and not (spec.one_zone and any(z != machine.zone for z in zones))
+            and not (spec.spread and zones.count(machine.zone) + 1 > (spec.tasks + 1) // 2)
+            for machine, room in rooms
+        )  # fmt: skip
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -104,6 +104,8 @@
         self.cuts: set[frozenset[str]] = set()
         self.filters: set[frozenset[str]] = set()
         """Pairs of hosts between which connections are refused, those that stand are reset."""
+        self.slow: dict[frozenset[str], float] = {}
+        """Pairs of hosts between which everything takes that many seconds longer."""
         self._held: dict[frozenset[str], list[tuple[SimStream, bytes | None]]] = {}
 
     def host(self, ip: str) -> Host:
@@ -154,7 +156,7 @@
         if pair in self.cuts:
             self._held.setdefault(pair, []).append((stream, data))
             return
-        stream.arrives_at = max(self.time + self.delay(), stream.arrives_at)
+        stream.arrives_at = max(self.time + self.delay() + self.slow.get(pair, 0.0), stream.arrives_at)
         self.at(stream.arrives_at, self._arrive, stream.other, data)
 
     @staticmethod
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,702 @@
+"""Two troubles at once: each meeting of `docs/meetings.md`, brought about and seen to happen.
+
+The rules (`tests/rules.py`) are checked in every world, all along and once the troubles are over.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import msgspec
+import pytest
+
+from flaxtally import wire
+from flaxtally.settings import Team
+
+from .test_world import cut_zone
+from .world import NODES, World, batch, spec
+
+
+def busy(seed: int = 1, services: int = 4, arrays: int = 2, run_time: float = 25.0, **world_args: object) -> World:
+    """A world whose services run and whose arrays have begun."""
+    world = World(seed, **world_args)  # type: ignore[arg-type]
+    for number in range(services):
+        world.submit(spec(f"j-{number:06d}", tasks=2), node=number)
+    for number in range(arrays):
+        world.submit(batch(f"j-{100 + number:06d}", 4), run_time=run_time, node=number)
+    assert world.until(lambda: len(world.running) == 2 * services + 4 * arrays, 90), world.trace
+    return world
+
+
+def leader_of(world: World, most: float = 15.0) -> str:
+    assert world.until(lambda: world.leader() is not None, most), world.trace
+    return world.leader() or ""
+
+
+def change_leader(world: World, back_after: float = 2.0) -> str:
+    """Ends the leader's process; the next leader, once it is ready."""
+    world.crash(leader_of(world), back_after=back_after)
+    term = world._term_active()
+    assert world.until(lambda: world._term_active() > term or world.nodes[leader_of(world)].leader.term.active, 20)
+    return leader_of(world)
+
+
+def term(world: World) -> int:
+    return max(node.election.term for node in world.nodes.values())
+
+
+def steady_work(world: World, for_s: float, every: float = 0.5, cancelled: int = 3) -> None:
+    """Small jobs come; of each so many the last is cancelled a little later."""
+    for number in range(int(for_s / every)):
+        ref = f"j-{5000 + number:06d}"
+        world.after(number * every, world.submit, batch(ref, 1 + number % 3), 3.0 + number % 5, number)
+        if number % cancelled == cancelled - 1:
+            world.after(number * every + 2.0 + number % 4, world.cancel, ref, number + 1)
+
+
+def ends_well(world: World, for_s: float = 110.0) -> None:
+    """Once all is over every accepted job is known, arrays are done or run, services run."""
+    world.calm(for_s)
+    for ref, job in world.specs.items():
+        known = world.rules.jobs[ref]
+        if not known.accepted:
+            continue
+        if known.told == wire.ABORTED:
+            assert world.count(ref) == 0
+        elif job.kind == wire.ARRAY:
+            ends = known.told == wire.DONE or known.asked_to_cancel
+            assert ends or len(known.done) + world.count(ref) == job.tasks, (ref, world.ask(ref), world.trace[-40:])
+        elif not known.asked_to_cancel:
+            assert world.count(ref) == job.tasks, (ref, world.ask(ref))
+
+
+def test_the_gap_between_a_refused_leader_and_an_outage() -> None:
+    # The meeting that broke most schedulers: the leader is refused, another confirms cancellations, then nobody
+    # reaches the state service for longer than `cancel_s` while workers go on reporting to the old leader.
+    for seed in range(3):
+        world = busy(seed, services=10, arrays=4, run_time=200.0)
+        old = leader_of(world)
+        world.refuse(old, 14.0)
+        world.after(4.0, world.outage, 40.0)
+        refs = [f"j-{number:06d}" for number in [*range(10), *range(100, 104)]]
+        for number, ref in enumerate(refs):
+            # At the refused leader, at the next one, and in the outage.
+            world.after(number * 0.6, world.cancel, ref, number)
+        world.run(3.9)
+        new = leader_of(world)
+        world.run(20)
+        assert new != old
+        assert world.state.down
+        assert world.told_cancelled
+        assert all(world.count(ref) == 0 for ref in world.told_cancelled)
+        world.run(60)
+        assert len(world.told_cancelled) + len(world.gave_up) == len(refs)
+        assert len(world.gave_up) == 0, (world.gave_up, world.trace)
+        ends_well(world, 20)
+
+
+def test_cancelled_as_the_leader_is_refused_and_a_second_later_nobody_is_served() -> None:
+    for seed in range(3):
+        world = busy(seed, services=8, arrays=2, run_time=200.0)
+        world.refuse(leader_of(world), 14.0)
+        for number in range(8):
+            world.after(number * 0.02, world.cancel, f"j-{number:06d}", number)
+        world.after(1.0, world.outage, 40.0)
+        world.run(30)
+        assert all(world.count(ref) == 0 for ref in world.told_cancelled)
+        world.run(40)
+        assert not world.gave_up
+        assert len(world.told_cancelled) == 8
+        ends_well(world, 20)
+
+
+@pytest.mark.parametrize("at_once", [False, True])
+def test_transactions_without_an_answer(at_once: bool) -> None:
+    # Carried out after newer ones of the same controller, or at once while other nodes read what they wrote.
+    # Found: a record whose types are a tuple was not recognised when read back, so the leader took itself for deposed.
+    world = busy()
+    for number in range(200, 240):
+        world.after(number - 200, world.submit, batch(f"j-{number:06d}", 2, types=("g8",)), 4.0, number)
+    world.lose_writes(0.3, 40.0, at_once)
+    steady_work(world, 40.0)
+    before = term(world)
+    world.after(15.0, world.crash, leader_of(world), 3.0)
+    world.run(60)
+    assert len(world.state.late) > 10
+    if at_once:
+        assert 200 in world.state.late
+        assert term(world) <= before + 3, world.trace
+    ends_well(world)
+
+
+def test_ten_leaders_in_two_minutes_also_inside_an_outage() -> None:
+    world = busy()
+    first = term(world)
+    steady_work(world, 100.0, every=1.0)
+    for turn in range(12):
+        leader = leader_of(world, 30)
+        if turn % 3 == 0:
+            world.crash(leader, back_after=1.0)
+        elif turn % 3 == 1:
+            world.isolate(leader, 8.0)
+        else:
+            world.refuse(leader, 8.0)
+        if turn in (4, 8):
+            world.after(1.0, world.outage, 5.0)
+        world.run(9.5)
+    assert term(world) >= first + 10
+    ends_well(world)
+
+
+def test_more_work_than_room_urgent_and_not_over_slow_links() -> None:
+    world = World(capacity=1)
+    world.slow_links(0.4, 60.0)
+    for number in range(12):
+        world.submit(batch(f"j-{number:06d}", 6), run_time=25.0, node=number)
+    for number in range(6):
+        world.after(20.0 + number, world.submit, spec(f"j-{100 + number:06d}", tasks=1, cores=6.0), None, number)
+        world.after(22.0 + number, world.cancel, f"j-{number:06d}", number)
+    world.run(24)
+    assert any(node.leader.jobs.waiting() for node in world.nodes.values())
+    world.run(37)
+    ends_well(world, 200)
+
+
+@pytest.mark.parametrize("crash", [True, False])
+def test_a_report_is_held_back_until_a_new_leader_has_acted(crash: bool) -> None:
+    # It reaches every controller just as the new leader begins, and proves nothing there.
+    world = busy()
+    world.copy_reports(1.0, 30.0, for_next=True)
+    steady_work(world, 25.0)
+    world.run(6)
+    for _ in range(3):
+        leader = leader_of(world)
+        if crash:
+            world.crash(leader, back_after=2.0)
+        else:
+            world.isolate(leader, 6.0)
+        world.run(7)
+    assert world.copies > 30
+    ends_well(world)
+
+
+def test_a_cancellation_a_question_or_a_repeat_meets_the_end_of_the_last_task() -> None:
+    # Cancelled and ending at once: one answer, at all nodes and ever after, takeovers included.
+    world = busy(arrays=0)
+    for number in range(24):
+        ref = f"j-{300 + number:06d}"
+        world.submit(batch(ref, 1), run_time=5.0, node=number)
+        assert world.until(lambda ref=ref: world.count(ref) == 1, 60)  # type: ignore[misc]
+        world.run(4.97 + 0.005 * number)
+        if number % 3 != 1:
+            world.cancel(ref, number)
+        if number % 2:
+            world.look_closely(ref)
+        if number % 8 == 7:
+            world.after(0.005 * (number // 8), world.crash, leader_of(world), 1.0)
+        world.run(2)
+    told = {job.told for job in world.rules.jobs.values()}
+    assert {wire.DONE, wire.ABORTED} <= told
+    ends_well(world, 20)
+
+
+@pytest.mark.parametrize("what", ["hung", "deaf", "mute", "cut"])
+def test_a_team_at_its_limit_a_new_leader_and_cancellations_on_machines_that_cannot_be_asked(what: str) -> None:
+    # Cancelled tasks count until they are proven over, for a new leader too; then waiting jobs move at once.
+    world = busy(team=Team("crew", 0.0, 37.0, 0.0, 8.0), services=3, arrays=2, run_time=120.0)
+    for number in range(200, 203):
+        world.submit(batch(f"j-{number:06d}", 2), run_time=10.0, node=number)
+    there = sorted({world.machine_of("j-000100/0"), world.machine_of("j-000000/0")})
+    if what == "cut":
+        for name in there:
+            world.cut(world.ip_of(name), [world.ip(node) for node in NODES], 14.0)
+    else:
+        world.machine_trouble(what, there, 14.0)
+    world.after(1.0, world.crash, leader_of(world), 3.0)
+    for number, ref in enumerate(["j-000100", "j-000101", "j-000000"]):
+        world.after(0.5 + number, world.cancel, ref, number)
+    world.run(30)
+    world.run(40)
+    assert len(world.told_cancelled) == 3, (world.gave_up, world.trace)
+    ends_well(world)
+
+
+def test_the_state_service_is_slow_or_gone_for_longer_than_cancel_s_while_users_cancel_and_ask() -> None:
+    world = busy(services=6, run_time=200.0)
+    world.slow_state(0.6, 20.0)
+    for number in range(4):
+        world.after(number * 1.5, world.cancel, f"j-{number:06d}", number)
+    world.run(20)
+    assert len(world.told_cancelled) >= 3, world.trace
+    world.refuse(leader_of(world), 45.0)
+    world.outage(40.0)
+    for number in range(100, 102):
+        world.after(3.0, world.cancel, f"j-{number:06d}", number)
+    for ref in world.specs:
+        world.after(10.0, world.look_closely, ref)
+    world.run(70)
+    assert len(world.told_cancelled) == 6
+    ends_well(world)
+
+
+@pytest.mark.parametrize("what", ["cut", "deaf"])
+def test_the_leader_ends_while_machines_with_long_tasks_cannot_be_reached(what: str) -> None:
+    world = busy(run_time=40.0)
+    names = sorted(world.workers)[:2]
+    for name in names:
+        if what == "cut":
+            world.cut(world.ip_of(name), [world.ip(node) for node in NODES], 9.0)
+        else:
+            world.machine_trouble("deaf", [name], 9.0)
+    world.run(0.5)
+    change_leader(world)
+    world.run(8)
+    ends_well(world)
+
+
+def test_an_isolated_leader_keeps_its_workers_and_tells_and_starts_nothing() -> None:
+    # Cut from the state service and its peers, while workers and users reach it; jobs are cancelled through the next.
+    world = busy(services=8, run_time=100.0)
+    old = leader_of(world)
+    served = [name for name, worker in world.workers.items() if worker._at == old]
+    world.isolate(old, 30.0)
+    assert world.until(lambda: leader_of(world) != old, 15)
+    world.run(1)
+    others = [NODES.index(name) for name in NODES if name != old]
+    world.submit(batch("j-000400", 3), run_time=5.0, node=others[0])
+    for number in range(4):
+        world.cancel(f"j-{number:06d}", others[number % 2])
+    answers: list[int] = []
+    world.call(old, "POST", f"{wire.WORK}/j-000005/cancel", None, lambda status, _: answers.append(status))
+    for ref in list(world.specs):
+        world.look_closely(ref)
+    world.run(20)
+    assert served
+    assert answers == [503]
+    assert len(world.told_cancelled) == 4, world.trace
+    token = world.nodes[leader_of(world)].election.term
+    assert all(world.workers[name].token == token for name in served if name in world.workers)
+    world.run(12)
+    world.cancel("j-000005")
+    ends_well(world)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_old_reports_arrive_after_newer_ones_also_of_earlier_sessions_and_attempts(seed: int) -> None:
+    world = busy(seed)
+    world.copy_reports(0.4, 60.0)
+    steady_work(world, 50.0)
+    world.run(8)
+    # Some machines begin a new session; others are hung, replaced, and known only by copies.
+    names = sorted(world.workers)
+    world.cut(world.ip_of(names[0]), [world.ip(node) for node in NODES], 11.0)
+    world.machine_trouble("hung", names[1:2], 30.0)
+    world.run(16)
+    world.crash(leader_of(world), back_after=2.0)
+    world.run(30)
+    assert world.copies > 30
+    assert any(worker.session > 1 for worker in world.workers.values()) or names[0] not in world.workers
+    ends_well(world)
+
+
+def test_jobs_of_a_few_tasks_end_far_apart_across_a_change_of_leader() -> None:
+    world = busy(arrays=0)
+    for number in range(6):
+        world.submit(batch(f"j-{200 + number:06d}", 2 + number % 2), run_time=10.0, node=number)
+    second = [f"j-{200 + number:06d}/1" for number in range(6)]
+    assert world.until(lambda: all(task in world.running for task in second), 60)
+    for task in second:
+        # Each job's second task is found to take much longer than its first.
+        held = world.workers[world.machine_of(task)].tasks[task, 1]
+        assert held.timer is not None
+        held.timer.cancel()
+        world.after(40.0, world.workers[world.machine_of(task)]._exit, held, wire.CAUSE_DONE)
+    world.run(15)
+    assert all(world.ask(f"j-{200 + number:06d}")[1]["stage"] == "running" for number in range(6))
+    change_leader(world)
+    world.run(12)
+    change_leader(world)
+    ends_well(world)
+
+
+def test_jobs_are_cancelled_while_one_controllers_work_changes_hands() -> None:
+    world = busy(services=8, run_time=60.0)
+    for turn in range(4):
+        follower = next(name for name in NODES if name != leader_of(world))
+        world.crash(follower, back_after=1.5)
+        for number in range(2):
+            world.after(0.7 * number, world.cancel, f"j-{2 * turn + number:06d}", turn + number)
+        world.run(5)
+    assert len(world.told_cancelled) == 8, world.trace
+    ends_well(world)
+
+
+def test_one_task_jobs_four_a_second_for_minutes_a_quarter_cancelled() -> None:
+    # Also while a cancelled job's machine is silent: found that cleaning then stood still, and pages grew with the day.
+    world = World(value_bytes=2048)
+    world.submit(spec("j-900000", tasks=2))
+    assert world.until(lambda: world.count("j-900000") == 2, 60)
+    for number in range(480):
+        ref = f"j-{number:06d}"
+        world.after(number * 0.25, world.submit, batch(ref, 1, image="img-1"), 2.0, number)
+        if number % 4 == 0:
+            world.after(number * 0.25 + 1.0 + number % 3, world.cancel, ref, number)
+    machine = world.machine_of("j-900000/0")
+    world.run(20)
+    world.cloud.down = True
+    world.machine_trouble("hung", [machine], 110.0)
+    world.cancel("j-900000")
+    world.run(90)
+    leader = world.nodes[leader_of(world)]
+    kept = [key for key in world.state.rows if key.startswith("p/")]
+    written = max(int(key[2:]) for key in kept)
+    assert leader.leader.book.by_ref["j-900000"].placed
+    assert len(kept) < written / 2, (len(kept), written)
+    change_leader(world)
+    world.run(40)
+    world.cloud.down = False
+    world.run(10)
+    assert len(world.accepted) == 481
+    ends_well(world)
+    assert sum(job.told == wire.DONE for job in world.rules.jobs.values()) > 300
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends(seed: int) -> None:
+    # Found: the next leader released machines that worked and were not listed yet.
+    world = World(seed)
+    world.cloud.boot, world.cloud.lag = 1.0, 4.0
+    world.run(3)
+    world.slow_state(0.3, 30.0)
+    for number in range(4):
+        world.submit(spec(f"j-{number:06d}", tasks=2), node=number)
+        world.submit(batch(f"j-{100 + number:06d}", 3), run_time=15.0, node=number)
+    assert world.until(lambda: len(world.running) >= 6, 30), world.trace
+    working = {world.machine_of(task) for task in world.running}
+    world.crash(leader_of(world), back_after=3.0)
+    world.run(12)
+    assert working <= set(world.workers), world.trace
+    ends_well(world)
+
+
+def test_a_command_or_its_answer_is_held_up_and_the_machine_goes_on() -> None:
+    world = busy()
+    steady_work(world, 40.0)
+    for turn in range(6):
+        name = sorted(world.workers)[turn % len(world.workers)]
+        world.cut(world.ip_of(name), [world.ip(node) for node in NODES], 2.0 + turn)
+        world.machine_trouble("hung", [name], 1.0 + turn / 2)
+        if turn % 3 == 2:
+            world.crash(leader_of(world), back_after=1.0)
+        world.run(6)
+    ends_well(world)
+
+
+def test_workers_reach_no_controller_while_direct_commands_reach_them() -> None:
+    world = busy(run_time=40.0)
+    names = sorted(world.workers)
+    world.machine_trouble("mute", names[: len(names) // 2], 25.0)
+    world.run(2)
+    world.cancel("j-000000")
+    world.cancel("j-000100", 1)
+    world.submit(batch("j-000300", 3), run_time=5.0)
+    world.run(8)
+    change_leader(world)
+    world.run(20)
+    assert {"j-000000", "j-000100"} <= set(world.told_cancelled)
+    ends_well(world)
+
+
+def test_jobs_bound_to_one_zone_lose_machines_arrays_too() -> None:
+    world = World()
+    for number, zone in enumerate("abab"):
+        world.submit(spec(f"j-{number:06d}", tasks=2, zone=zone, spread=False), node=number)
+        world.submit(batch(f"j-{100 + number:06d}", 4, zone=zone), run_time=20.0, node=number)
+        world.submit(batch(f"j-{200 + number:06d}", 4, one_zone=True), run_time=20.0, node=number)
+    assert world.until(lambda: len(world.running) > 20, 90), world.trace
+    for turn in range(3):
+        for task in [f"j-{turn:06d}/0", f"j-{100 + turn:06d}/0"]:
+            if task in world.running:
+                world.cloud.take(world.machine_of(task))
+        if turn == 1:
+            world.crash(leader_of(world), back_after=2.0)
+        world.run(8)
+    ends_well(world)
+
+
+def test_controllers_hand_over_and_back_all_end_and_one_returns_within_a_second() -> None:
+    # Found by reading: numbers of questions and orders began at 1 in every life of a process, and an answer to the
+    # former life was taken for one to the new.
+    world = busy(run_time=60.0)
+    steady_work(world, 40.0)
+    for _ in range(4):
+        world.crash(leader_of(world), back_after=0.3)
+        world.run(3)
+    for name in NODES:
+        world.crash(name)
+    world.after(0.4, world.start, NODES[0])
+    world.run(8)
+    assert leader_of(world) == NODES[0]
+    for name in NODES[1:]:
+        world.start(name)
+    world.run(5)
+    ends_well(world)
+
+
+def test_all_controllers_are_away_for_longer_than_a_lease() -> None:
+    world = busy(run_time=60.0)
+    held = set(world.running)
+    for name in NODES:
+        world.crash(name, back_after=14.0)
+    world.run(13.9)
+    assert any(" end lapsed " in line for line in world.trace) or not held & set(world.running)
+    world.run(1)
+    for number in range(2):
+        world.cancel(f"j-{number:06d}", number)
+    world.run(30)
+    assert len(world.told_cancelled) == 2
+    ends_well(world)
+
+
+@pytest.mark.parametrize("slow", [0.0, 0.05])
+def test_users_look_closely_right_after_each_answer(slow: float) -> None:
+    # No node may answer something older than what any node has told.
+    world = busy()
+    world.slow_links(slow, 60.0)
+    cancelled = 0
+    for number in range(20):
+        ref = f"j-{500 + number:06d}"
+        world.submit(batch(ref, 1 + number % 2), run_time=2.0 + number % 3, node=number)
+        assert world.until(lambda ref=ref: ref in world.accepted, 5)  # type: ignore[misc]
+        world.look_closely(ref)
+        if number % 4 == 0:
+            world.cancel(ref, number + 1)
+            assert world.until(lambda ref=ref: ref in world.told_cancelled, 10)  # type: ignore[misc]
+            world.look_closely(ref)
+            cancelled += 1
+        if number % 5 == 4:
+            world.crash(leader_of(world), back_after=1.0)
+        world.run(1.5)
+    while not all(world.rules.jobs[f"j-{500 + number:06d}"].told for number in range(20)):
+        world.run(0.5)
+        for number in range(20):
+            ref = f"j-{500 + number:06d}"
+            job = world.rules.jobs[ref]
+            if job.told and world.sim.time - job.told_at < 0.6:
+                world.look_closely(ref)
+            elif not job.told:
+                world.call(NODES[number % 3], "GET", f"{wire.WORK}/{ref}", None, lambda *_: None)
+        assert world.sim.time < 200, world.trace[-30:]
+    assert cancelled == 5
+    ends_well(world, 20)
+
+
+def test_a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease() -> None:
+    world = busy(services=6, run_time=60.0)
+    heal = cut_zone(world, "b")
+    for number in range(2):
+        world.cancel(f"j-{number:06d}", 0)
+    world.run(14)
+    heal()
+    ends_well(world)
+
+
+def test_odd_requests_while_other_troubles_last() -> None:
+    # Bad input is refused, an accepted job never: not as unknown, not as malformed, not as unfit.
+    world = busy(run_time=15.0)
+    world.run(20)
+    done = [ref for ref, job in world.rules.jobs.items() if job.told == wire.DONE] or ["j-000100"]
+    statuses: dict[str, set[int]] = {}
+
+    def send(name: str, body: object, path: str = wire.WORK) -> None:
+        node = world.rng.choice(NODES)
+        world.call(node, "POST", path, body, lambda status, _: statuses.setdefault(name, set()).add(status))
+
+    def odd(number: int) -> None:
+        ref = f"j-{7000 + number:06d}"
+        send("fits nothing", wire.submission(spec(ref + "1", cores=1000.0)))
+        send("too much", wire.submission(spec(ref + "2", tasks=101)))
+        send("lacks a field", {"ref": ref + "3", "lane": "gate"})
+        send("wrong type", {**msgspec.to_builtins(wire.submission(spec(ref + "4"))), "hands": "many"})
+        send("known", wire.submission(world.specs["j-000000"]))
+        send("known, malformed", {"ref": "j-000001"})
+        send("done, cancelled", None, f"{wire.WORK}/{done[0]}/cancel")
+        send("nobody's, cancelled", None, f"{wire.WORK}/{ref}5/cancel")
+
+    for number in range(40):
+        world.after(number * 0.7, odd, number)
+    world.after(4.0, world.refuse, leader_of(world), 6.0)
+    world.after(9.0, world.outage, 5.0)
+    world.after(18.0, world.isolate, leader_of(world), 6.0)
+    world.run(32)
+    assert statuses.pop("fits nothing") - {503, 0} == {422}
+    assert statuses.pop("too much") - {503, 0} == {422}
+    assert statuses.pop("lacks a field") - {503, 0} == {400}
+    assert statuses.pop("wrong type") - {503, 0} == {400}
+    assert statuses.pop("nobody's, cancelled") - {503, 0} == {404}
+    assert all(found - {503, 0} == {200} for found in statuses.values()), statuses
+    ends_well(world, 20)
+
+
+def test_an_answer_to_a_former_life_of_a_controller_is_none_to_this() -> None:
+    # Found by reading: questions were numbered from 1 in each life of a process, and matched by that number alone.
+    world = busy(arrays=1)
+    leader = leader_of(world)
+    node = next(name for name in NODES if name != leader)
+    world.slow_state(1.0, 10.0)
+    world.call(node, "GET", f"{wire.WORK}/j-000000", None, lambda *_: None)
+    world.run(0.05)
+    world.crash(node, back_after=0.1)
+    assert world.until(lambda: world.nodes[node].election.able and world.sim.hosts[world.ip(node)].alive, 3)
+    answers: list[int] = []
+    for ref in ("j-000001", "j-000100"):
+        world.call(node, "GET", f"{wire.WORK}/{ref}", None, lambda status, _: answers.append(status))
+    world.run(5)
+    assert len(answers) == 2
+    # Neither do orders' answers of another peer, or of another life, count.
+    dispatch = world.nodes[leader].dispatch
+    told: list[int] = []
+    dispatch.carry(node, "n", "10.1.99.99:9000", wire.orders_body(1, 1, []), lambda status, _: told.append(status))
+    number = next(iter(dispatch._carried))
+    dispatch.carried(node, {"k": "done", "i": 1, "s": 200, "b": b""})
+    dispatch.carried("hearth-9", {"k": "done", "i": number, "s": 200, "b": b""})
+    assert told == []
+    dispatch.carried(node, {"k": "done", "i": number, "s": 200, "b": b""})
+    assert told == [200]
+
+
+def test_a_late_copy_of_a_transaction_brings_no_cleaned_page_back() -> None:
+    # Found by reading: the guard "does not exist" holds again once the page that a transaction created is cleaned
+    # away; its late copy, under the same term, would have brought old records back for the next leader to read.
+    world = World(value_bytes=512)
+    sent: list[wire.Txn] = []
+    transact = world.state.transact
+
+    def seen(txn: wire.Txn) -> tuple[int, object]:
+        status, body = transact(txn)
+        if status == 200 and any((change.put or "").startswith("p/") for change in txn.apply):
+            sent.append(txn)
+        return status, body
+
+    world.state.transact = seen  # type: ignore[method-assign]
+    for number in range(100):
+        world.after(number * 0.4, world.submit, batch(f"j-{number:06d}", 1), 1.0, number)
+    world.run(60)
+    gone = [
+        txn for txn in sent
+        if all(change.put not in world.state.rows for change in txn.apply if change.put != "p/00000000")
+    ]  # fmt: skip
+    assert len(gone) > 20
+    assert {transact(txn)[0] for txn in sent} == {409}
+
+
+def test_a_commit_whose_answer_is_lost_is_recognised_when_read_back() -> None:
+    # Found: types are a tuple in memory and a list when read, so the leader took itself for deposed.
+    world = busy()
+    leader = world.nodes[leader_of(world)].leader
+    before = leader.term
+    world.lose_writes(0.5, 20.0, at_once=True)
+    for number in range(200, 220):
+        world.after(number - 200, world.submit, batch(f"j-{number:06d}", 2, types=("g8",)), 4.0, number)
+    world.run(30)
+    assert world.state.late.count(200) > 5
+    assert leader.term is before
+    ends_well(world, 20)
+
+
+def test_a_leader_that_gave_up_never_leads_the_same_term_again() -> None:
+    # Found: the key still named it, so it led the same term anew and took what it had placed for placed by an earlier
+    # one. A launch that was held up then came under a token that the worker still takes: the task ran twice.
+    world = busy(services=1, arrays=0)
+    old = world.nodes[leader_of(world)]
+    first, task = old.election.term, "j-000050/0"
+    for name in world.workers:
+        world.cut(world.ip_of(name), [world.ip(node) for node in NODES], 6.0)
+    world.submit(spec("j-000050", spread=False))
+    world.run(0.5)
+    assert old.leader.book.by_ref["j-000050"].placed
+    old.election.depose()
+    world.run(1)
+    assert term(world) > first
+    assert world.until(lambda: task in world.running, 40)
+    ends_well(world, 30)
+
+
+def test_copies_of_old_reports_keep_no_machine_alive_for_a_new_leader() -> None:
+    # Found by reading: until a machine had the new leader's token, each copy counted as a sign of life.
+    world = busy()
+    name = world.machine_of("j-000000/0")
+    stale = [world.workers[name].report() for _ in range(3)]
+    world.machine_trouble("hung", [name], 60.0)
+    change_leader(world)
+    for turn in range(22):
+        for node in NODES:
+            world._deliver_copy(node, stale[turn % 3])
+        world.run(1.0)
+    assert name not in world.workers
+    # Nor does one of a machine that is gone, and that the next leader does not know, become room for long.
+    change_leader(world)
+    world._deliver_copy(leader_of(world), stale[0])
+    world.run(12)
+    assert name not in world.nodes[leader_of(world)].leader.term.fleet.machines
+    ends_well(world)
+
+
+def test_a_damaged_ledger_is_said_once_and_not_served_from(caplog: pytest.LogCaptureFixture) -> None:
+    world = busy()
+    sound = world.state.rows["p/00000001"]
+    for damage in ({"x": 1}, {"r": [["?"]]}):
+        world.state.rows["p/00000001"] = damage, *sound[1:]
+        caplog.clear()
+        with caplog.at_level(logging.ERROR):
+            world.crash(leader_of(world), back_after=1.0)
+            world.run(4)
+        assert [record.message.split()[0] for record in caplog.records] == ["event=ledger_damaged"]
+        assert not any(node.election.ready for node in world.nodes.values())
+    world.state.rows["p/00000001"] = sound
+    ends_well(world, 40)
+
+
+MIXES = range(1, 7)
+
+
+@pytest.mark.parametrize("seed", MIXES)
+def test_a_random_mix_of_troubles(seed: int) -> None:
+    world = busy(seed, services=6, arrays=3, run_time=40.0)
+    rng = random.Random(seed)
+    steady_work(world, 60.0, every=0.6)
+    for _ in range(9):
+        mixed(world, rng)
+        world.run(rng.uniform(2.0, 9.0))
+    world.run(20)
+    ends_well(world)
+
+
+def mixed(world: World, rng: random.Random) -> None:
+    """One trouble, drawn; those before it may still last."""
+    leader = world.leader() or NODES[0]
+    machines = sorted(world.workers)
+    some = rng.sample(machines, min(len(machines), 2))
+    for_s = rng.uniform(3.0, 16.0)
+    ip = world.ip(leader)
+    drawn = rng.randrange(13)
+    if drawn == 0:
+        world.refuse(leader, for_s)
+    elif drawn == 1:
+        world.outage(for_s)
+    elif drawn in (2, 3):
+        world.lose_writes(0.3, for_s, at_once=drawn == 3)
+    elif drawn == 4:
+        world.slow_state(0.5, for_s)
+    elif drawn in (5, 6):
+        world.copy_reports(0.5, for_s, for_next=drawn == 6)
+    elif drawn in (7, 8, 9):
+        world.machine_trouble(("hung", "deaf", "mute")[drawn - 7], some, for_s)
+    elif drawn == 10 and world.sim.hosts[ip].alive:
+        world.crash(leader, back_after=rng.choice([0.3, 3.0]))
+    elif drawn == 11:
+        world.isolate(leader, for_s)
+    else:
+        for name in some:
+            world.cut(world.ip_of(name), [world.ip(node) for node in NODES], for_s)
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,6 +17,7 @@
 from flaxtally.standin.state import StateService
 from flaxtally.standin.worker import Worker
 
+from .rules import Rules
 from .sim import Sim
 
 STATE, CLOUD, USER = ("10.2.0.1", 2379), ("10.2.0.2", 8443), "10.3.0.1"
@@ -58,14 +59,21 @@
         self.run_times: dict[str, float] = {}
         self.workers: dict[str, Worker] = {}
         self.trace: list[str] = []
-        self.running: dict[str, tuple[str, int]] = {}
-        self._used = [0.0, 0.0]
+        self.rules = Rules({"crew": self.team}, TYPES, CANCEL_S)
+        self.calm_since = float("inf")
+        self.copies = 0
+        self._copy_share, self._copy_for_next = 0.0, False
+        self._kept: list[tuple[int, wire.Report]] = []
+        self.gave_up: list[str] = []
+        """Cancellations that got no answer of use within 60 s."""
+        self.cancel_waits: list[float] = []
+        """How long users waited for their cancellations."""
         self._pages: dict[str, tuple[int, set[tuple[str, int, str]]]] = {}
         self._refs: dict[int, str] = {}
         self.told_cancelled: dict[str, float] = {}
         self.accepted: set[str] = set()
         self.nodes: dict[str, Node] = {}
-        self.state = StateService(self.sim.host(STATE[0]), STATE)
+        self.state = StateService(self.sim.host(STATE[0]), STATE, random.Random(seed))
         self.cloud = Cloud(
             self.sim.host(CLOUD[0]), CLOUD, TYPES,
             {(kind.name, zone, spot): capacity for kind in TYPES for zone in ZONES for spot in (False, True)},
@@ -75,6 +83,13 @@
         self._clients: dict[str, Client] = {}
         for name in nodes:
             self.start(name)
+        self.sim.at(1.0, self._look)
+        self.sim.at(0.0, self._deliver_kept)
+
+    @property
+    def running(self) -> dict[str, tuple[str, int]]:
+        """Where each task is, and its attempt."""
+        return {task: (machine.machine, attempt) for task, (machine, attempt) in self.rules.on.items()}
 
     # The service
 
@@ -117,10 +132,11 @@
         kind = next(entry for entry in TYPES if entry.name == machine.type)
         assert machine.address is not None
         ip, _, port = machine.address.partition(":")
-        self.workers[machine.machine] = Worker(
+        worker = self.workers[machine.machine] = Worker(
             self.sim.host(ip), machine, kind, (ip, int(port)), {name: (self.ip(name), 8080) for name in self.names},
             1.5, 10.0, self.specs.get, self.run_times.get, self._watch, self.rng,
         )  # fmt: skip
+        worker.copy = self._copied
 
     def _end_worker(self, name: str) -> None:
         worker = self.workers.pop(name, None)
@@ -130,40 +146,29 @@
         self.note(f"{name} gone")
 
     def machine_of(self, task: str) -> str:
-        return self.running[task][0]
+        return self.rules.on[task][0].machine
 
     def ip_of(self, machine: str) -> str:
         return self.workers[machine]._address[0]
 
     def _watch(self, event: str, machine: str, task: str, attempt: int) -> None:
         self.note(f"{task} try {attempt} {event} on {machine}")
-        ref = task.partition("/")[0]
-        job = self.specs[ref]
-        if event != "start":
-            if self.running.get(task) == (machine, attempt):
-                del self.running[task]
-                self._count_use(job, -1)
-            return
-        # The rules, at the moment at which they could be broken.
-        assert task not in self.running, f"ran_twice: {task} on {self.running.get(task)} and {machine}"
-        # Its user may hear of it a little later, but it and the placement must be committed.
-        assert self._is_committed(task, attempt, machine), f"started before its record was committed: {task}"
-        if ref in self.told_cancelled:
-            assert self.sim.time <= self.told_cancelled[ref] + CANCEL_S, f"ran_cancelled: {task}"
-        self.running[task] = (machine, attempt)
-        self._count_use(job, 1)
-        there = self.workers[machine].machine
-        assert job.spot or not there.spot, f"wrong_place: {task} on spot"
-        if job.spread:
-            others = [self.running.get(f"{ref}/{number}") for number in range(job.tasks)]
-            zones = [self.workers[other[0]].machine.zone for other in others if other is not None]
-            assert zones.count(there.zone) <= (job.tasks + 1) // 2, f"wrong_place: {task} not spread"
-        assert self._used[0] <= self.team.cores_max, "quota"
-        assert self._used[1] <= self.team.gpus_max, "quota"
-
-    def _count_use(self, job: wire.Spec, count: int) -> None:
-        self._used[0] += job.cores * count
-        self._used[1] += job.gpus * count
+        if event == "start":
+            # Its user may hear of it a little later, but it and the placement must be committed.
+            assert self._is_committed(task, attempt, machine), f"started before its record was committed: {task}"
+            self.rules.starts(task, attempt, self.workers[machine].machine, self.sim.time)
+        else:
+            self.rules.ends(task, attempt, machine, event == "end done")
+
+    def _look(self) -> None:
+        self.sim.at(self.sim.time + 1.0, self._look)
+        self.rules.look(self.sim.time)
+        if self.sim.time > self.calm_since:
+            up = [
+                (worker.machine, {held.task for held in worker.tasks.values() if held.state != wire.EXITED})
+                for worker in self.workers.values() if worker.notice is None
+            ]  # fmt: skip
+            self.rules.look_when_calm(self.sim.time, self.calm_since, up)
 
     def _is_committed(self, task: str, attempt: int, machine: str) -> bool:
         """Whether the state service's pages hold the placement. Pages are read when they changed."""
@@ -178,13 +183,116 @@
             held = held or (task, attempt, machine) in self._pages[key][1]
         return held
 
+    # Troubles, one way to say each. Each ends by itself.
+
+    def after(self, seconds: float, fn: Callable[..., None], *args: Any) -> None:
+        self.sim.at(self.sim.time + seconds, fn, *args)
+
+    def refuse(self, node: str, for_s: float) -> None:
+        """The state service answers 503 to this controller alone; its leases run out."""
+        self.note(f"the state service refuses {node}")
+        self.state.refused.add(self.ip(node))
+        self.after(for_s, self.state.refused.discard, self.ip(node))
+
+    def outage(self, for_s: float) -> None:
+        """The state service answers 503 to all."""
+        self.note("the state service has trouble")
+        self.state.down = True
+        self.after(for_s, self.state.recover)
+
+    def lose_writes(self, share: float, for_s: float, at_once: bool = False) -> None:
+        """That share of transactions gets no answer; each is carried out 2 to 12 s later, or at once."""
+        self.state.lost_share, self.state.lost_delay = share, (0.0, 0.0) if at_once else (2.0, 12.0)
+        self.after(for_s, setattr, self.state, "lost_share", 0.0)
+
+    def slow_state(self, seconds: float, for_s: float) -> None:
+        self.state.slow = seconds
+        self.after(for_s, setattr, self.state, "slow", 0.0)
+
+    def copy_reports(self, share: float, for_s: float, for_next: bool = False) -> None:
+        """A copy of that share of reports arrives again: 2 s to 1.6 leases later, at any controller; or at every
+        controller when the next leader has begun."""
+        self._copy_share, self._copy_for_next = share, for_next
+        self.after(for_s, setattr, self, "_copy_share", 0.0)
+
+    def _copied(self, node: str, report: wire.Report) -> None:
+        if self._copy_share and self.rng.random() < self._copy_share:
+            if self._copy_for_next:
+                self._kept.append((self._term_active(), report))
+            else:
+                self.after(self.rng.uniform(2.0, 16.0), self._deliver_copy, self.rng.choice(self.names), report)
+
+    def _term_active(self) -> int:
+        return max((node.leader.term.number for node in self.nodes.values() if node.leader.term.active), default=0)
+
+    def _deliver_kept(self) -> None:
+        self.after(0.05, self._deliver_kept)
+        term = self._term_active()
+        due = [report for kept_in, report in self._kept if kept_in < term]
+        self._kept = [entry for entry in self._kept if entry[0] >= term]
+        for report in due:
+            for name in self.names:
+                self._deliver_copy(name, report)
+
+    def _deliver_copy(self, node: str, report: wire.Report) -> None:
+        self.copies += 1
+        Client(self.user, (self.ip(node), 8080)).request("POST", wire.BEAT, report, 4.0, lambda _: None)
+
+    def machine_trouble(self, what: str, machines: list[str], for_s: float) -> None:
+        """`what`: hung, deaf (answers and orders lost, reports arrive) or mute (reaches no controller)."""
+        for name in machines:
+            self.note(f"{name} is {what}")
+            setattr(self.workers[name], what, True)
+            self.after(for_s, setattr, self.workers[name], what, False)
+
+    def cut(self, one: str, others: list[str], for_s: float) -> None:
+        """Between these hosts all is held, and then delivered in order."""
+        for other in others:
+            self.sim.cut(one, other)
+            self.after(for_s, self.sim.heal, one, other)
+
+    def slow_links(self, seconds: float, for_s: float) -> None:
+        """Between controllers, and between these and the state service."""
+        hosts = [*(self.ip(name) for name in self.names), STATE[0]]
+        self.sim.slow = {frozenset((one, other)): seconds for one in hosts for other in hosts if one != other}
+        self.after(for_s, self.sim.slow.clear)
+
+    def isolate(self, node: str, for_s: float) -> None:
+        """The controller loses the state service and the other controllers, not its workers or users."""
+        self.note(f"{node} is cut from the state service and its peers")
+        self.cut(self.ip(node), [STATE[0], *(self.ip(name) for name in self.names if name != node)], for_s)
+
+    def calm(self, for_s: float = 110.0) -> None:
+        """All troubles are over: now the rules count how long questions and waiting jobs are left alone."""
+        self.calm_since = self.sim.time
+        for _ in range(int(for_s / 5)):
+            for ref, job in self.rules.jobs.items():
+                if job.accepted:
+                    name = self.rng.choice(self.names)
+                    self.call(name, "GET", f"{wire.WORK}/{ref}", None, lambda *_: None)
+            self.run(5.0)
+
     # Users
 
     def call(self, node: str, method: str, path: str, body: Any, done: Callable[[int, Any], None]) -> None:
+        """A user's request. The rules see all that are asked and answered."""
         client = self._clients.setdefault(node, Client(self.user, (self.ip(node), 8080), 8))
+        asked_at = self.sim.time
+        if path == wire.WORK:
+            what, ref = "submit", getattr(body, "ref", "") or (body.get("ref", "") if isinstance(body, dict) else "")
+            if isinstance(body, wire.Submission):
+                self.rules.submits(self.specs.get(ref) or wire.Spec(**msgspec.structs.asdict(body)))
+        else:
+            ref, _, verb = path[len(wire.WORK) + 1 :].partition("/")
+            what = verb or "poll"
+            if what == "cancel":
+                self.rules.asks_to_cancel(ref)
 
         def told(reply: Reply) -> None:
-            done(reply.status, msgspec.msgpack.decode(reply.body) if reply.body else None)
+            answer = msgspec.msgpack.decode(reply.body) if reply.body else None
+            if path.startswith(wire.WORK) and ref:
+                self.rules.answered(what, ref, asked_at, self.sim.time, reply.status, answer)
+            done(reply.status, answer)
 
         client.request(method, path, body, 5.0, told)
 
@@ -206,22 +314,32 @@
 
         self.call(name, "POST", wire.WORK, wire.submission(job), done)
 
-    def cancel(self, ref: str, node: int = 0) -> None:
+    def cancel(self, ref: str, node: int = 0, since: float | None = None) -> None:
+        """Asks until it is told the end, like the users do: for 60 s."""
+        first = self.sim.time if since is None else since
+
         def done(status: int, body: Any) -> None:
             if status == 200:
-                if body["stage"] == wire.ABORTED:
+                if body["stage"] == wire.ABORTED and ref not in self.told_cancelled:
                     self.told_cancelled[ref] = self.sim.time
-                    self.sim.at(self.sim.time + CANCEL_S, self._check_cancelled, ref)
+                    self.cancel_waits.append(self.sim.time - first)
                 self.note(f"user: {ref} {body['stage']}")
+            elif self.sim.time - first < 60.0:
+                self.after(1.0, self.cancel, ref, node + 1, first)
             else:
-                self.sim.at(self.sim.time + 1.0, self.cancel, ref, node + 1)
+                self.gave_up.append(ref)
 
         self.call(self.names[node % len(self.names)], "POST", f"{wire.WORK}/{ref}/cancel", None, done)
 
-    def _check_cancelled(self, ref: str) -> None:
-        left = [task for task in self.running if task.startswith(ref + "/")]
-        left = [task for task in left if not self.workers[self.running[task][0]].hung]
-        assert not left, f"ran_cancelled: {left}"
+    def look_closely(self, ref: str, resubmit: bool = True) -> None:
+        """Its user asks at all nodes, again and again within milliseconds, and repeats the submission."""
+        for turn in range(4):
+            for number, name in enumerate(self.names):
+                delay = 0.004 * turn + 0.001 * number
+                self.after(delay, self.call, name, "GET", f"{wire.WORK}/{ref}", None, lambda *_: None)
+                if resubmit:
+                    body = wire.submission(self.specs[ref])
+                    self.after(delay, self.call, name, "POST", wire.WORK, body, lambda *_: None)
 
     def ask(self, ref: str) -> tuple[int, Any]:
         """Polls any node until one answers other than 503, at most 20 s."""
@@ -255,6 +373,7 @@
                 self.sim.time = end
                 return condition()
             self.sim.step()
+            assert not self.rules.broken, self.rules.broken
         return True
 
     def count(self, ref: str) -> int:
