--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,40 @@
+"""What CI passes over: exactly what KNOWN-RED.txt lists, and only while it fails."""
+
+from __future__ import annotations
+
+import pytest
+
+pytest_plugins = ["pytester"]
+
+TESTS = """
+def test_red():
+    assert False
+
+def test_green():
+    pass
+
+def test_other():
+    assert not RED
+"""
+RED = "test_it.py::test_red, not mended yet, issue 1"
+
+
+@pytest.mark.parametrize(("lines", "other_red", "code", "said"), [
+    ([RED], False, 0, "known red: test_it.py::test_red, not mended yet, issue 1"),
+    ([], False, 1, "1 failed"),
+    ([RED], True, 1, "test_other"),
+    ([RED, "test_it.py::test_green, it passes, issue 1"], False, 1, "strict"),
+    ([RED, "test_it.py::test_gone, never was, issue 1"], False, 4, "no such test"),
+    ([RED] * 4, False, 4, "4 lines, 3 at most"),
+    ([RED] * 2, False, 4, "twice"),
+    (["test_it.py::test_red"], False, 4, "not `test, cause, issue`"),
+])  # fmt: skip
+def test_exactly_the_listed_tests_may_fail(
+    pytester: pytest.Pytester, lines: list[str], other_red: bool, code: int, said: str
+) -> None:
+    pytester.makepyfile(test_it=f"RED = {other_red}\n{TESTS}")
+    if lines:
+        pytester.path.joinpath("KNOWN-RED.txt").write_text("\n".join(lines) + "\n")
+    result = pytester.runpytest_inprocess("-p", "tests.known_red", "-p", "no:cacheprovider")
+    assert result.ret == code
+    assert said in result.stdout.str() + result.stderr.str()
