--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -52,7 +52,7 @@
             if aim.kind == "deadline" and aim.lane is not None and aim.times != 1.0:
                 self._late_times.setdefault(aim.lane, []).append(aim.times)
             if aim.kind == "wait" and aim.lane is not None and aim.within:
-                self._begin_within[aim.lane] = aim.within * BEGIN_SHARE
+                self._begin_within[aim.lane] = min(aim.within * BEGIN_SHARE, self.policy.begin_latest)
             if aim.kind == "finished" and aim.lane is not None and aim.within:
                 self._finish_within.setdefault(aim.lane, []).append(aim.within)
 
@@ -257,7 +257,7 @@
     def urgency(self, job: Job, wall: float) -> tuple[int, float]:
         """For which of its due times the job is to be in time, and by when it must start for that."""
         spec = job.spec
-        if spec.kind != wire.SERVICE and wall - job.at > self._begin_within.get(spec.lane, 2 * self.policy.plan_lead):
+        if spec.kind != wire.SERVICE and wall - job.at > self._begin_within.get(spec.lane, self.policy.begin_latest):
             # Those left out for being large must begin all the same.
             return -1, job.at
         latest = self._latest(job)
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -59,6 +59,7 @@
     plan_step: float
     plan_horizon: float
     plan_lead: float
+    begin_latest: float
     slack: float
     cool_down: float
     pool_rest: float
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -12,7 +12,7 @@
 import pytest
 
 from flaxtally import wire
-from flaxtally.settings import Team
+from flaxtally.settings import Objective, Team
 
 from .test_world import cut_zone
 from .world import NODES, World, batch, spec
@@ -658,6 +658,19 @@
     ends_well(world, 40)
 
 
+def test_the_largest_jobs_begin_well_within_four_minutes_of_too_much_work() -> None:
+    # Left out for being large while small ones can be in time, a job must begin all the same.
+    world = World(capacity=1, objectives=(Objective("finished", "batch", 40.0, 1.0),))
+    for number in range(280):
+        world.after(number * 1.0, world.submit, batch(f"j-{number:06d}", 2, deadline=30.0), 20.0, number)
+    world.run(50)
+    world.submit(batch("j-900000", 30, deadline=30.0), run_time=20.0)
+    world.run(60)
+    assert world.count("j-900000") == 0
+    assert any(world.count(f"j-{number:06d}") for number in range(52, 110))
+    assert world.until(lambda: world.count("j-900000") > 0, 120), world.trace[-40:]
+
+
 MIXES = range(1, 7)
 
 
