--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -676,14 +676,16 @@
 
 @pytest.mark.parametrize("seed", MIXES)
 def test_a_random_mix_of_troubles(seed: int) -> None:
-    world = busy(seed, services=6, arrays=3, run_time=40.0)
     rng = random.Random(seed)
+    team = rng.choice([None, Team("crew", 0.0, 70.0, 0.0, 16.0)])
+    world = busy(seed, services=6, arrays=3, run_time=40.0, value_bytes=rng.choice([768, 8192]), team=team)
+    world.cloud.lag, world.cloud.boot = rng.choice([0.0, 3.0]), rng.choice([None, 1.0])
     steady_work(world, 60.0, every=0.6)
-    for _ in range(9):
+    for _ in range(12):
         mixed(world, rng)
-        world.run(rng.uniform(2.0, 9.0))
+        world.run(rng.uniform(0.5, 9.0))
     world.run(20)
-    ends_well(world)
+    ends_well(world, 150)
 
 
 def mixed(world: World, rng: random.Random) -> None:
@@ -693,7 +695,7 @@
     some = rng.sample(machines, min(len(machines), 2))
     for_s = rng.uniform(3.0, 16.0)
     ip = world.ip(leader)
-    drawn = rng.randrange(13)
+    drawn = rng.randrange(20)
     if drawn == 0:
         world.refuse(leader, for_s)
     elif drawn == 1:
@@ -710,6 +712,27 @@
         world.crash(leader, back_after=rng.choice([0.3, 3.0]))
     elif drawn == 11:
         world.isolate(leader, for_s)
+    elif drawn == 12:
+        heal = cut_zone(world, rng.choice("ab"))
+        world.after(for_s, heal)
+    elif drawn == 13:
+        world.cloud.down = True
+        world.after(for_s, setattr, world.cloud, "down", False)
+    elif drawn == 14:
+        for name in some:
+            world.cloud.take(name)
+    elif drawn == 15:
+        world.slow_links(0.3, for_s)
+    elif drawn in (16, 17):
+        for ref in rng.sample(sorted(world.accepted), min(8, len(world.accepted))):
+            world.look_closely(ref)
+            if drawn == 17:
+                world.cancel(ref, rng.randrange(3))
+                world.after(rng.uniform(0.0, 0.2), world.look_closely, ref)
+    elif drawn == 18:
+        for name in NODES:
+            if world.sim.hosts[world.ip(name)].alive:
+                world.crash(name, back_after=rng.choice([0.3, 3.0, 12.0]))
     else:
         for name in some:
             world.cut(world.ip_of(name), [world.ip(node) for node in NODES], for_s)
