An isolated leader neither rents nor releases, moves or preempts

It now waits until it hears the state service or another controller; in an outage the others are heard, and it goes on.

--- a/flaxtally/election.py
+++ b/flaxtally/election.py
@@ -74,6 +74,13 @@
     def store_answers(self) -> bool:
         return self.runtime.now() - self._store.contact < 2.2 * self._policy.probe
 
+    @property
+    def isolated(self) -> bool:
+        """Whether neither the state service answers nor any other controller is heard: then others may well lead.
+        (In an outage of the state service the others are heard, and nobody can take over.)"""
+        others = self._peers.heard
+        return bool(others) and not self.store_answers and not any(self._peers.fresh(peer) for peer in others)
+
     @property
     def leader_in_touch(self) -> float:
         """Seconds since the leader of our term was last heard (0 for the leader itself)."""
--- a/flaxtally/lead/term.py
+++ b/flaxtally/lead/term.py
@@ -44,6 +44,8 @@
         self.number, self.runtime, self.settings, self.policy = number, runtime, settings, policy
         self.ledger, self.cloud, self.rng, self.kinds = ledger, cloud, rng, kinds
         self.active = False
+        self.isolated = False
+        """Neither the state service nor another controller is heard."""
         self.began = runtime.now()
         self.fleet = Fleet(runtime, ledger, settings.zones)
         self.kick: Callable[[], None] = lambda: None
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -230,6 +230,12 @@
                 # Nothing else is sent there: without this it would be passed over for ever.
                 self.orders.knock(machine)
 
+    def hear_anew(self) -> None:
+        """After a spell in which this node heard little: silence counts from now."""
+        now = self.runtime.now()
+        for machine in self.fleet.machines.values():
+            machine.heard_at = max(machine.heard_at, now - self.policy.machine_suspect)
+
     def _dark_zones(self, now: float) -> set[str]:
         """Zones in which most machines fell silent together: that is the network or a controller, and the
         machines are likely well."""
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 
 import msgspec
@@ -29,6 +30,8 @@
 from .policy import Policy
 from .settings import Settings
 
+log = logging.getLogger(__name__)
+
 
 class Leader(Actor):
     """Begins and ends terms. Does nothing while this node doesn't lead."""
@@ -125,8 +128,23 @@
 
     # What comes again and again
 
+    @property
+    def _acts(self) -> bool:
+        """An isolated leader answers reports and stops what it cancelled. It doesn't rent, release, move or preempt:
+        the machines that are silent, idle or slow to it may be at work for its successor."""
+        if not self.term.active:
+            return False
+        isolated = self._election.isolated
+        if isolated != self.term.isolated:
+            self.term.isolated = isolated
+            log.info("event=%s term=%d", "isolated" if isolated else "in_touch", self.term.number)
+            if not isolated:
+                self.tracker.hear_anew()
+                self.term.kick()
+        return not isolated
+
     def _watch(self) -> None:
-        if self.term.active:
+        if self._acts:
             self.tracker.watch()
             self.pace.watch()
             self.emptier.move_on(self.runtime.now())
@@ -136,10 +154,10 @@
             self._ledger.clean()
 
     def _plan(self) -> None:
-        demands = self.planner.plan() if self.term.active else None
+        demands = self.planner.plan() if self._acts else None
         if demands is not None:
             self.emptier.consolidate(self.runtime.now(), demands)
 
     def _list(self) -> None:
-        if self.term.active:
+        if self._acts:
             self.tracker.list_machines()
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -282,6 +282,34 @@
     ends_well(world)
 
 
+def test_an_isolated_leader_returns_no_machine_that_its_successor_uses() -> None:
+    # Found on a drawn day: cut from the state service and its peers, the old leader gave back machines that were idle
+    # or silent to it, and with them the tasks that the next leader had placed there.
+    world = busy(services=2, arrays=0)
+    spare = [world.cloud.add("c16", zone, False, boot=0.5) for zone in "ab"]
+    assert world.until(lambda: all(name in world.workers for name in spare), 10)
+    world.run(4)
+    old = leader_of(world)
+    world.isolate(old, 60.0)
+    for name in spare:
+        world.sim.cut(world.ip(old), world.ip_of(name))
+    assert world.until(lambda: leader_of(world) != old, 15)
+    world.run(2)
+    other = next(number for number, name in enumerate(NODES) if name != old)
+    refs = [f"j-{400 + number:06d}" for number in range(6)]
+    for ref in refs:
+        world.submit(spec(ref, tasks=2, cores=4.0), node=other)
+    assert world.until(lambda: all(world.count(ref) == 2 for ref in refs), 40)
+    assert set(spare) & {machine for machine, _ in world.running.values()}
+    before = dict(world.running)
+    world.run(45)
+    assert world.nodes[old].election.leading
+    assert world.running == before, world.trace[-20:]
+    for name in spare:
+        world.sim.heal(world.ip(old), world.ip_of(name))
+    ends_well(world, 40)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_old_reports_arrive_after_newer_ones_also_of_earlier_sessions_and_attempts(seed: int) -> None:
     world = busy(seed)
