Copies of reports don't stand for a machine's newest one; nonsense between controllers is one line

Found by reading: a controller that begins a term takes the reports that it heard last, and a copy of an old one may have come last. Frames with answers of wrong types were tracebacks.

--- a/flaxtally/dispatch.py
+++ b/flaxtally/dispatch.py
@@ -98,7 +98,7 @@
                 request.reply(421, wire.report_elsewhere(theirs))
                 return
         request.reply(200, wire.beat_answer(election.term))
-        self._heard[name] = (now, report)
+        self._note(report)
         if election.leading:
             self._deliver(self._settings.node, report)
         elif election.leader is not None:
@@ -120,9 +120,15 @@
             except (msgspec.DecodeError, KeyError, TypeError) as fault:
                 log.warning("a forwarded report: %s", fault)
                 return
-            self._heard[report.machine] = (self.runtime.now(), report)
+            self._note(report)
             self._deliver(sender, report)
 
+    def _note(self, report: wire.Report) -> None:
+        """Keeps a machine's newest report for a term that begins here; copies of older ones come later."""
+        _, last = self._heard.get(report.machine, (0.0, None))
+        if last is None or (report.session, report.sequence) > (last.session, last.sequence):
+            self._heard[report.machine] = (self.runtime.now(), report)
+
     def known_machines(self) -> list[wire.Report]:
         now = self.runtime.now()
         return [report for at, report in self._heard.values() if now - at < self._settings.lease_s]
@@ -172,11 +178,14 @@
         self._send(address, body, told)
 
     def carried(self, sender: str, frame: Frame) -> None:
-        number = frame.get("i", 0)
+        number, status, body = frame.get("i"), frame.get("s"), frame.get("b")
+        if not (isinstance(number, int) and isinstance(status, int) and isinstance(body, bytes)):
+            log.warning("an answer of %s to orders is none", sender)
+            return
         entry = self._carried.get(number)
         if entry is None or entry[0] != sender:
             return
         del self._carried[number]
         _, done, timer = entry
         timer.cancel()
-        done(int(frame.get("s", 0)), bytes(frame.get("b", b"")))
+        done(status, body)
--- a/flaxtally/intake.py
+++ b/flaxtally/intake.py
@@ -176,10 +176,13 @@
             answer(503, None)
 
     def answered(self, sender: str, frame: Frame) -> None:
-        number = frame.get("i", 0)
+        number, status = frame.get("i"), frame.get("s")
+        if not (isinstance(number, int) and isinstance(status, int)):
+            log.warning("an answer of %s to a question is none", sender)
+            return
         question = self._asked.get(number)
         if question is not None and question.asked == sender:
-            self._told(number, int(frame.get("s", 503)), frame.get("b"))
+            self._told(number, status, frame.get("b"))
 
     def _serve(self, what: str, subject: Any, answer: Answer) -> None:
         if what == "submit" and isinstance(subject, bytes):
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -12,6 +12,7 @@
 import pytest
 
 from flaxtally import wire
+from flaxtally.peers import encode
 from flaxtally.settings import Objective, Team
 
 from .test_world import cut_zone
@@ -708,6 +709,43 @@
     ends_well(world, 40)
 
 
+def test_nonsense_between_controllers_and_from_workers_is_one_line_and_ends_nothing(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    world = busy(services=2, arrays=0)
+    leader = leader_of(world)
+    before = dict(world.running)
+    hello = encode({"k": "hello", "node": next(name for name in NODES if name != leader)})
+    nonsense = [
+        b"\xff" * 40, encode({"k": "hb"}), hello + encode({"k": "hb", "term": "x", "leader": 3}),
+        hello + encode({"k": "ord", "a": 1, "o": []}), hello + encode({"k": "rep", "t": term(world), "b": b"x"}),
+        hello + encode({"k": "ans", "i": "x"}), hello + encode({"k": "done", "i": [1]}), hello + encode({"k": "?"}),
+        hello + encode({"k": "ask", "i": 1, "w": "poll", "s": 7}), hello + b"\x00\x00\x00\x01\xff",
+    ]  # fmt: skip
+    with caplog.at_level(logging.WARNING):
+        for number, data in enumerate(nonsense):
+            caplog.clear()
+            world.user.connect((world.ip(leader), 8081)).send(data)
+            world.run(0.2)
+            assert len(caplog.records) <= 1, (number, caplog.records)
+            assert not any(record.exc_info for record in caplog.records), (number, caplog.records)
+        caplog.clear()
+        for body in (b"x", {"rig": "n-1"}, {"rig": 7}):
+            answers: list[int] = []
+            world.call(leader, "POST", wire.BEAT, body, lambda status, _, told=answers: told.append(status))
+            world.run(0.2)
+            assert answers == [400]
+        assert len(caplog.records) == 3
+    copy = world.workers[sorted(world.workers)[0]].report()
+    world.run(3)
+    newest = world.nodes[leader].dispatch._heard[copy.machine][1].sequence
+    world._deliver_copy(leader, copy)
+    world.run(0.2)
+    assert world.nodes[leader].dispatch._heard[copy.machine][1].sequence >= newest > copy.sequence
+    assert world.running == before
+    ends_well(world, 10)
+
+
 def test_the_largest_jobs_begin_well_within_four_minutes_of_too_much_work() -> None:
     # Left out for being large while small ones can be in time, a job must begin all the same.
     world = World(capacity=1, objectives=(Objective("finished", "batch", 40.0, 1.0),))
