--- a/flaxtally/election.py
+++ b/flaxtally/election.py
@@ -76,10 +76,10 @@
 
     @property
     def isolated(self) -> bool:
-        """Whether neither the state service answers nor any other controller is heard: then others may well lead.
-        (In an outage of the state service the others are heard, and nobody can take over.)"""
-        others = self._peers.heard
-        return bool(others) and not self.store_answers and not any(self._peers.fresh(peer) for peer in others)
+        """Whether others may well lead by now: the state service doesn't answer, and some other controller is neither
+        heard nor dead. (In an outage of the state service the others are heard, and nobody can take over.)"""
+        peers = self._peers
+        return not self.store_answers and not all(peers.fresh(peer) or peers.refuses(peer) for peer in peers.heard)
 
     @property
     def leader_in_touch(self) -> float:
--- a/flaxtally/lead/term.py
+++ b/flaxtally/lead/term.py
@@ -45,7 +45,7 @@
         self.ledger, self.cloud, self.rng, self.kinds = ledger, cloud, rng, kinds
         self.active = False
         self.isolated = False
-        """Neither the state service nor another controller is heard."""
+        """Others may well lead by now: see `Election.isolated`."""
         self.began = runtime.now()
         self.fleet = Fleet(runtime, ledger, settings.zones)
         self.kick: Callable[[], None] = lambda: None
