--- a/flaxtally/fleet.py
+++ b/flaxtally/fleet.py
@@ -17,7 +17,8 @@
     __slots__ = (
         "address", "baseline", "booting", "cores", "draining", "errors", "failed_probes", "faulty_at", "glimpsed",
         "gpus", "heard_at", "idle_since", "images", "kind", "name", "notice_until", "orders_failed", "placements",
-        "probing", "ram", "release_tried", "releasing", "rented_at", "sequence", "server", "session", "slow", "spot", "zone",
+        "probing", "ram", "release_tried", "releasing", "rented_at", "sequence", "server", "session", "slow", "spot",
+        "zone",
     )  # fmt: skip
 
     def __init__(self, name: str, kind: str, zone: str, spot: bool, now: float) -> None:
