--- a/flaxtally/fleet.py
+++ b/flaxtally/fleet.py
@@ -15,10 +15,10 @@
     """A machine that the leader knows. `baseline`: it has reported under the present token."""
 
     __slots__ = (
-        "address", "baseline", "booting", "cores", "draining", "errors", "failed_probes", "faulty_at", "glimpsed",
-        "gpus", "heard_at", "idle_since", "images", "kind", "name", "notice_until", "orders_failed", "placements",
-        "probing", "ram", "release_tried", "releasing", "rented_at", "sequence", "server", "session", "slow", "spot",
-        "zone",
+        "address", "baseline", "booting", "cores", "draining", "errors", "failed_probes", "faults", "faulty_until",
+        "glimpsed", "gpus", "heard_at", "idle_since", "images", "kind", "name", "notice_until", "orders_failed",
+        "placements", "probing", "ram", "release_tried", "releasing", "rented_at", "sequence", "server", "session",
+        "slow", "spot", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str, kind: str, zone: str, spot: bool, now: float) -> None:
@@ -43,8 +43,10 @@
         self.orders_failed = 0
         self.errors: set[str] = set()
         """Jobs whose tasks failed here since one last ended with its result; not those that fail everywhere."""
-        self.faulty_at: float | None = None
-        """Since when it drains for such failures."""
+        self.faulty_until: float | None = None
+        """Until when it drains for such failures."""
+        self.faults = 0
+        """How often it was found faulty."""
         self.images: OrderedDict[str, float] = OrderedDict()
         self.placements: dict[tuple[int, int], Placement] = {}
         self.cores = self.gpus = self.ram = 0.0
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -136,17 +136,20 @@
                 other = self.fleet.machines.get(name)
                 if other is not None:
                     other.errors.discard(job.spec.ref)
-                    if other.faulty_at is not None and len(other.errors) < FAULTY_AFTER:
+                    if other.faulty_until is not None and len(other.errors) < FAULTY_AFTER:
                         self._clear(other)
             return
         machine.errors.add(job.spec.ref)
         if len(machine.errors) >= FAULTY_AFTER and not machine.draining:
             log.info("event=machine_faulty term=%d machine=%s", self.term.number, machine.name)
-            machine.draining, machine.faulty_at = True, self.runtime.now()
+            # Some are for a spell only: looked at again soon, then less and less often.
+            rest = min(self.policy.faulty_rest * 2**machine.faults, self.policy.slow_rest)
+            machine.draining, machine.faulty_until = True, self.runtime.now() + rest
+            machine.faults += 1
 
     def _clear(self, machine: Machine) -> None:
         log.info("event=machine_cleared term=%d machine=%s", self.term.number, machine.name)
-        machine.faulty_at = None
+        machine.faulty_until = None
         machine.draining = machine.notice_until is not None
         machine.errors.clear()
         self.term.kick()
@@ -249,7 +252,7 @@
                     self.release(machine, f"silent for {age:.1f}s")
             elif machine.draining and not machine.placements and machine.baseline:
                 self.release(machine, "drained")
-            elif machine.faulty_at is not None and now - machine.faulty_at > policy.slow_rest:
+            elif machine.faulty_until is not None and now > machine.faulty_until:
                 # Services go on there all the same: it gets another chance.
                 self._clear(machine)
             elif machine.deaf:
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -56,6 +56,7 @@
     boot_patience: float
     late: float
     very_late: float
+    faulty_rest: float
     slow_rest: float
     plan_step: float
     plan_horizon: float
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -627,6 +627,23 @@
     assert all(len(world.rules.jobs[f"j-{200 + number:06d}"].done) == 4 for number in range(6))
 
 
+def test_a_machine_that_fails_for_a_spell_is_used_again() -> None:
+    # Found in the same incident: two of four GPU machines failed all tasks for a moment, and, with services on them,
+    # were left alone for three minutes.
+    world = World(capacity=1)
+    world.submit(spec("j-000001", tasks=2, gpus=2.0))
+    assert world.until(lambda: world.count("j-000001") == 2, 60), world.trace
+    held = {world.machine_of("j-000001/0"), world.machine_of("j-000001/1")}
+    world.faulty |= held
+    for number in range(12):
+        world.submit(batch(f"j-{200 + number:06d}", 4), run_time=60.0, node=number)
+    world.run(5)
+    world.faulty.clear()
+    world.run(45)
+    there = [task for task, (machine, _) in world.running.items() if machine in held and task.startswith("j-0002")]
+    assert len(there) >= 10, world.running
+
+
 def test_a_machine_on_which_several_jobs_fail_is_left_alone() -> None:
     # Also when one of them has failed elsewhere before: what it has done shows that the mistake isn't its own.
     world = World()
