--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -633,15 +633,15 @@
     world = World(capacity=1)
     world.submit(spec("j-000001", tasks=2, gpus=2.0))
     assert world.until(lambda: world.count("j-000001") == 2, 60), world.trace
-    held = {world.machine_of("j-000001/0"), world.machine_of("j-000001/1")}
-    world.faulty |= held
+    held = world.machine_of("j-000001/0")
+    world.faulty.add(held)
     for number in range(12):
         world.submit(batch(f"j-{200 + number:06d}", 4), run_time=60.0, node=number)
     world.run(5)
     world.faulty.clear()
     world.run(45)
-    there = [task for task, (machine, _) in world.running.items() if machine in held and task.startswith("j-0002")]
-    assert len(there) >= 10, world.running
+    there = [task for task, (machine, _) in world.running.items() if machine == held and task.startswith("j-0002")]
+    assert len(there) >= 5, world.running
 
 
 def test_a_machine_on_which_several_jobs_fail_is_left_alone() -> None:
