--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -789,7 +789,7 @@
     some = rng.sample(machines, min(len(machines), 2))
     for_s = rng.uniform(3.0, 16.0)
     ip = world.ip(leader)
-    drawn = rng.randrange(20)
+    drawn = rng.randrange(22)
     if drawn == 0:
         world.refuse(leader, for_s)
     elif drawn == 1:
@@ -827,6 +827,14 @@
         for name in NODES:
             if world.sim.hosts[world.ip(name)].alive:
                 world.crash(name, back_after=rng.choice([0.3, 3.0, 12.0]))
+    elif drawn == 19:
+        world.faulty |= set(some)
+        world.after(for_s, world.faulty.clear)
+    elif drawn == 20:
+        ref = f"j-{8000 + len(world.broken):06d}"
+        world.broken.add(ref)
+        world.submit(batch(ref, 3), run_time=5.0)
+        world.after(for_s, world.cancel, ref)
     else:
         for name in some:
             world.cut(world.ip_of(name), [world.ip(node) for node in NODES], for_s)
