A job without progress for long takes any room: slow machines, and what is kept for GPU tasks

Found by reading, proved by a test: where no machine without GPUs is to be had, tasks without GPUs waited for ever beside the cores kept for GPU tasks; the rule is 90 s.

--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -64,6 +64,7 @@
                 self.live[job.no] = job
                 self._waiting[job.no] = job
                 self._note_spec(job)
+            job.waits_since = now
             if job.cancelled:
                 job.cancelled_at = now
 
@@ -90,7 +91,7 @@
 
         self.ledger.propose(record, committed)
         job = self.ledger.book.jobs[no]
-        job.known_at = now
+        job.known_at = job.waits_since = now
         self.live[no] = job
         self._waiting[no] = job
         self._claim(job)
@@ -211,6 +212,8 @@
 
     def waits_again(self, job: Job) -> None:
         """A task of the job is to be placed anew."""
+        if job.no not in self._waiting:
+            job.waits_since = self.runtime.now()
         self._waiting[job.no] = job
 
     def waiting(self) -> list[Job]:
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -89,11 +89,14 @@
                     self._place(job, hinted)
                     continue
                 shut = frozenset(zone for zone, is_open in zones.items() if not is_open) if zones else NO_ZONES
-                like = spec.types, spec.zone, spec.spot, spec.kind, rank, bool(spec.gpus), shut
+                # Who has waited for long takes any room: that of slow machines, and what is kept for GPU tasks.
+                overdue = now - job.waits_since > self.policy.keep_patience
+                needs = None if overdue else self.jobs.needs
+                like = spec.types, spec.zone, spec.spot, spec.kind, rank, bool(spec.gpus), shut, overdue
                 if not unfit.covers(like, spec):
                     known = self._full.covers(like, spec)
                     where = grown if known else stock
-                    chosen = placement.choose(spec, job.no, where, self.jobs.needs, self.policy.sample, zones, keep)
+                    chosen = placement.choose(spec, job.no, where, needs, self.policy.sample, zones, keep)
                     if chosen is not None:
                         self._place(job, chosen)
                         continue
@@ -306,7 +309,7 @@
 
         self.ledger.propose(["P", job.no, task, attempt, machine.name, machine.zone], committed)
         placed = job.placed[task]
-        placed.proposed_at = now
+        placed.proposed_at = job.waits_since = now
         machine.use(placed)
         for name, claims in self._reserved.items():
             # Made good: who comes later in this pass must not count it beside the placement, and stop twice as many.
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -142,8 +142,8 @@
         machine.errors.add(job.spec.ref)
         if len(machine.errors) >= FAULTY_AFTER and not machine.draining:
             log.info("event=machine_faulty term=%d machine=%s", self.term.number, machine.name)
-            # Some are for a spell only: looked at again soon, then less and less often.
-            rest = min(self.policy.faulty_rest * 2**machine.faults, self.policy.slow_rest)
+            # Some are for a spell only: looked at again soon, then less often; no job may wait 90 s beside it.
+            rest = min(self.policy.faulty_rest * 2**machine.faults, self.policy.keep_patience)
             machine.draining, machine.faulty_until = True, self.runtime.now() + rest
             machine.faults += 1
 
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -59,7 +59,7 @@
 
     __slots__ = (
         "at", "attempts", "cancelled", "cancelled_at", "committed", "done", "done_tasks", "ending", "fresh",
-        "home", "known_at", "leaving", "no", "placed", "requeued", "shape", "spec", "told",
+        "home", "known_at", "leaving", "no", "placed", "requeued", "shape", "spec", "told", "waits_since",
     )  # fmt: skip
 
     def __init__(self, no: int, at: float, spec: wire.Spec) -> None:
@@ -80,6 +80,8 @@
         """Placements proven over whose record is not committed yet."""
         self.cancelled_at = 0.0
         self.known_at = 0.0
+        self.waits_since = 0.0
+        """Since when it has waiting tasks and none of them was placed."""
         self.home = 0
 
     @property
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -185,12 +185,13 @@
         return self._by_image.get(image, [])
 
     def fitting(
-        self, spec: wire.Spec, zone_open: dict[str, bool], needs: GpuNeeds, most: int,
+        self, spec: wire.Spec, zone_open: dict[str, bool], needs: GpuNeeds | None, most: int,
         keep: Callable[[Machine], bool] | None = None,
     ) -> list[Machine]:  # fmt: skip
         """At most so many machines, drawn at random, that can hold one more task of the job: among those that
         hold its image, and if none of them can, among all. In a large fleet a sample of all misses the few that do.
 
+        Without `needs` nothing is kept for GPU tasks, and slow machines will do.
         Who has found some ends after `WIDEN` times as many looks; who has found none looks at all."""
         opens = self._open(spec, zone_open)
         for walk in (
@@ -202,12 +203,12 @@
         return []
 
     def _sample(
-        self, walk: Iterator[tuple[Machine, wire.MachineType]], spec: wire.Spec, needs: GpuNeeds, most: int,
+        self, walk: Iterator[tuple[Machine, wire.MachineType]], spec: wire.Spec, needs: GpuNeeds | None, most: int,
         keep: Callable[[Machine], bool] | None,
     ) -> list[Machine]:  # fmt: skip
         found: list[Machine] = []
         enough = self.looked + WIDEN * most
-        quick = spec.kind == wire.SERVICE
+        quick = spec.kind == wire.SERVICE or needs is None
         cores, gpus, ram = spec.cores - SLACK, spec.gpus - SLACK, spec.ram - SLACK
         for machine, kind in walk:
             if (
@@ -215,7 +216,10 @@
                 and machine.gpus + gpus <= kind.gpus
                 and machine.ram + ram <= kind.ram
                 and (quick or not machine.slow)
-                and (spec.gpus or not kind.gpus or leaves_gpus_usable(spec, room(machine, kind), kind, needs))
+                and (
+                    spec.gpus or not kind.gpus or needs is None
+                    or leaves_gpus_usable(spec, room(machine, kind), kind, needs)
+                )
                 and (keep is None or keep(machine))
             ):
                 found.append(machine)
@@ -225,7 +229,7 @@
 
 
 def choose(
-    spec: wire.Spec, job_no: int, stock: Stock, needs: GpuNeeds, sample: int, zone_open: dict[str, bool],
+    spec: wire.Spec, job_no: int, stock: Stock, needs: GpuNeeds | None, sample: int, zone_open: dict[str, bool],
     keep: Callable[[Machine], bool] | None = None,
 ) -> Machine | None:  # fmt: skip
     """The machine for a task, or None. Looks at a sample of those that can hold it."""
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -62,6 +62,7 @@
     plan_horizon: float
     plan_lead: float
     begin_latest: float
+    keep_patience: float
     slack: float
     cool_down: float
     pool_rest: float
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -62,6 +62,7 @@
             self.breaks("nobody_asked", task, now)
             return
         self._place(task, spec, machine, now)
+        job.waits_since = None
         self.on[task] = machine, attempt
         used = self.used.setdefault(spec.team, [0.0, 0.0])
         used[0] += spec.cores
@@ -178,6 +179,7 @@
             elif job.waits_since is None:
                 job.waits_since = now
             elif now - max(job.waits_since, calm_since) > WAITING_S:
+                # Nothing of it began in that time, though there was room for it all along.
                 self.breaks("left_waiting", f"{ref} while a machine fits", now)
 
     def _room(self, machine: wire.Listed, tasks: set[str]) -> tuple[float, float, float]:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -752,6 +752,24 @@
     ends_well(world, 10)
 
 
+@pytest.mark.parametrize("kind", [wire.SERVICE, wire.ARRAY])
+def test_no_job_waits_beside_room_that_is_kept_for_others(kind: str) -> None:
+    # Found by reading: where no machine without GPUs is to be had, tasks without GPUs waited for ever beside the cores
+    # that are kept for GPU tasks.
+    world = World(3, capacity=1)
+    for pool in list(world.cloud._capacity):
+        if pool[0] == "c16":
+            world.cloud._capacity[pool] = 0
+    world.submit(spec("j-000001", tasks=2, gpus=4.0, cores=8.0, ram=32.0, lane="big"))
+    assert world.until(lambda: world.count("j-000001") == 2, 60)
+    for number in range(12):
+        job = spec(f"j-{100 + number:06d}", kind=kind, tasks=2, cores=6.0, lane="small", estimate=30.0)
+        world.submit(job, run_time=300.0, node=number)
+    world.run(30)
+    assert any(node.leader.jobs.waiting() for node in world.nodes.values())
+    world.calm(150)
+
+
 def test_the_largest_jobs_begin_well_within_four_minutes_of_too_much_work() -> None:
     # Left out for being large while small ones can be in time, a job must begin all the same.
     world = World(capacity=1, objectives=(Objective("finished", "batch", 40.0, 1.0),))
