--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -92,17 +92,18 @@
                 # Who has waited for long takes any room: that of slow machines, and what is kept for GPU tasks.
                 overdue = now - job.waits_since > self.policy.keep_patience
                 needs = None if overdue else self.jobs.needs
-                like = spec.types, spec.zone, spec.spot, spec.kind, rank, bool(spec.gpus), shut, overdue
-                if not unfit.covers(like, spec):
-                    known = self._full.covers(like, spec)
+                like = spec.types, spec.zone, spec.spot, spec.kind, rank, bool(spec.gpus), shut
+                room = like, overdue
+                if not unfit.covers(room, spec):
+                    known = self._full.covers(room, spec)
                     where = grown if known else stock
                     chosen = placement.choose(spec, job.no, where, needs, self.policy.sample, zones, keep)
                     if chosen is not None:
                         self._place(job, chosen)
                         continue
-                    unfit.add(like, spec)
+                    unfit.add(room, spec)
                     if not (known or more):
-                        self._full.add(like, spec)
+                        self._full.add(room, spec)
                 # Batch work stops others for one task of a shape at a time. For services, who may be stopped
                 # depends on the team too, while they are within its guarantee.
                 kin = like, spec.team if job.no not in self.jobs.beyond else None
