--- a/flaxtally/dispatch.py
+++ b/flaxtally/dispatch.py
@@ -126,7 +126,7 @@
     def _note(self, report: wire.Report) -> None:
         """Keeps a machine's newest report for a term that begins here; copies of older ones come later."""
         _, last = self._heard.get(report.machine, (0.0, None))
-        if last is None or (report.session, report.sequence) > (last.session, last.sequence):
+        if last is None or report.order > last.order:
             self._heard[report.machine] = (self.runtime.now(), report)
 
     def known_machines(self) -> list[wire.Report]:
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -46,9 +46,9 @@
             return
         if report.token != self.term.number:
             # A copy that comes after newer ones says nothing, not even that the machine is alive.
-            if (report.session, report.sequence) <= machine.glimpsed:
+            if report.order <= machine.glimpsed:
                 return
-            machine.glimpsed = report.session, report.sequence
+            machine.glimpsed = report.order
         if machine.booting:
             machine.booting = False
             machine.idle_since = now
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -128,8 +128,7 @@
 
     # What comes again and again
 
-    @property
-    def _acts(self) -> bool:
+    def _may_act(self) -> bool:
         """An isolated leader answers reports and stops what it cancelled. It doesn't rent, release, move or preempt:
         the machines that are silent, idle or slow to it may be at work for its successor."""
         if not self.term.active:
@@ -144,7 +143,7 @@
         return not isolated
 
     def _watch(self) -> None:
-        if self._acts:
+        if self._may_act():
             self.tracker.watch()
             self.pace.watch()
             self.emptier.move_on(self.runtime.now())
@@ -154,10 +153,10 @@
             self._ledger.clean()
 
     def _plan(self) -> None:
-        demands = self.planner.plan() if self._acts else None
+        demands = self.planner.plan() if self._may_act() else None
         if demands is not None:
             self.emptier.consolidate(self.runtime.now(), demands)
 
     def _list(self) -> None:
-        if self._acts:
+        if self._may_act():
             self.tracker.list_machines()
--- a/flaxtally/wire.py
+++ b/flaxtally/wire.py
@@ -114,6 +114,11 @@
     tasks: list[TaskReport]
     notice: float | None = None
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Of two reports of a machine, the one with the larger is the newer."""
+        return self.session, self.sequence
+
 
 class MachineType(msgspec.Struct, rename={
     "name": "label", "gpus": "cards", "ram": "ramGb", "cache": "cacheGb", "fetch_rate": "pullGbPerS",
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -30,6 +30,20 @@
         self.waits_since: float | None = None
 
 
+def _over(team: Team, cores: float, gpus: float) -> bool:
+    """Whether that much is beyond the team's limit."""
+    return bool((team.cores_max and cores > team.cores_max) or (team.gpus_max and gpus > team.gpus_max))
+
+
+def _allowed(spec: wire.Spec, machine: wire.Listed, zones: list[str]) -> bool:
+    """Whether one more task of the job may be there, given the zones of its others."""
+    return (
+        (spec.types is None or machine.type in spec.types) and spec.zone in (None, machine.zone)
+        and (spec.spot or not machine.spot) and not (spec.one_zone and any(zone != machine.zone for zone in zones))
+        and not (spec.spread and zones.count(machine.zone) + 1 > (spec.tasks + 1) // 2)
+    )  # fmt: skip
+
+
 class Rules:
     """Owns the outside view: who runs where, and what was answered when."""
 
@@ -61,25 +75,19 @@
         if spec is None:
             self.breaks("nobody_asked", task, now)
             return
-        self._place(task, spec, machine, now)
+        if not _allowed(spec, machine, self._zones(spec)):
+            self.breaks("wrong_place", f"{task} on {machine.type} {machine.zone} spot={machine.spot}", now)
         job.waits_since = None
         self.on[task] = machine, attempt
         used = self.used.setdefault(spec.team, [0.0, 0.0])
         used[0] += spec.cores
         used[1] += spec.gpus
-        team = self.teams[spec.team]
-        if (team.cores_max and used[0] > team.cores_max + SLACK) or (team.gpus_max and used[1] > team.gpus_max + SLACK):
+        if _over(self.teams[spec.team], used[0] - SLACK, used[1] - SLACK):
             self.breaks("quota", f"{spec.team} uses {used}", now)
 
-    def _place(self, task: str, spec: wire.Spec, machine: wire.Listed, now: float) -> None:
-        zones = [there.zone for other, (there, _) in self.on.items() if other.startswith(spec.ref + "/")]
-        wrong = (
-            (spec.types is not None and machine.type not in spec.types) or (spec.zone not in (None, machine.zone))
-            or (machine.spot and not spec.spot) or (spec.one_zone and any(zone != machine.zone for zone in zones))
-            or (spec.spread and zones.count(machine.zone) + 1 > (spec.tasks + 1) // 2)
-        )  # fmt: skip
-        if wrong:
-            self.breaks("wrong_place", f"{task} on {machine.type} {machine.zone} spot={machine.spot}", now)
+    def _zones(self, spec: wire.Spec) -> list[str]:
+        """Of the job's tasks that are on machines."""
+        return [there.zone for other, (there, _) in self.on.items() if other.startswith(spec.ref + "/")]
 
     def ends(self, task: str, attempt: int, machine: str, done: bool) -> None:
         there = self.on.get(task)
@@ -143,9 +151,7 @@
         if team is None:
             return "unknown team"
         count = 1 if spec.kind == wire.ARRAY else spec.tasks
-        if (team.cores_max and spec.cores * count > team.cores_max) or (
-            team.gpus_max and spec.gpus * count > team.gpus_max
-        ):
+        if _over(team, spec.cores * count, spec.gpus * count):
             return "beyond its team's limit"
         fits = any(
             kind.cores >= spec.cores and kind.gpus >= spec.gpus and kind.ram >= spec.ram
@@ -192,15 +198,10 @@
 
     def _could_start(self, spec: wire.Spec, rooms: list[tuple[wire.Listed, tuple[float, float, float]]]) -> bool:
         team, used = self.teams[spec.team], self.used.get(spec.team, [0.0, 0.0])
-        if (team.cores_max and used[0] + spec.cores > team.cores_max) or (
-            team.gpus_max and used[1] + spec.gpus > team.gpus_max
-        ):
+        if _over(team, used[0] + spec.cores, used[1] + spec.gpus):
             return False
-        zones = [there.zone for other, (there, _) in self.on.items() if other.startswith(spec.ref + "/")]
+        zones = self._zones(spec)
         return any(
-            room[0] >= spec.cores and room[1] >= spec.gpus and room[2] >= spec.ram
-            and (spec.types is None or machine.type in spec.types) and spec.zone in (None, machine.zone)
-            and (spec.spot or not machine.spot) and not (spec.one_zone and any(z != machine.zone for z in zones))
-            and not (spec.spread and zones.count(machine.zone) + 1 > (spec.tasks + 1) // 2)
+            room[0] >= spec.cores and room[1] >= spec.gpus and room[2] >= spec.ram and _allowed(spec, machine, zones)
             for machine, room in rooms
-        )  # fmt: skip
+        )
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -38,8 +38,7 @@
 def change_leader(world: World, back_after: float = 2.0) -> str:
     """Ends the leader's process; the next leader, once it is ready."""
     world.crash(leader_of(world), back_after=back_after)
-    term = world._term_active()
-    assert world.until(lambda: world._term_active() > term or world.nodes[leader_of(world)].leader.term.active, 20)
+    assert world.until(lambda: (new := world.leader()) is not None and world.nodes[new].leader.term.active, 20)
     return leader_of(world)
 
 
@@ -47,12 +46,12 @@
     return max(node.election.term for node in world.nodes.values())
 
 
-def steady_work(world: World, for_s: float, every: float = 0.5, cancelled: int = 3) -> None:
-    """Small jobs come; of each so many the last is cancelled a little later."""
+def steady_work(world: World, for_s: float, every: float = 0.5) -> None:
+    """Small jobs come; each third is cancelled a little later."""
     for number in range(int(for_s / every)):
         ref = f"j-{5000 + number:06d}"
         world.after(number * every, world.submit, batch(ref, 1 + number % 3), 3.0 + number % 5, number)
-        if number % cancelled == cancelled - 1:
+        if number % 3 == 2:
             world.after(number * every + 2.0 + number % 4, world.cancel, ref, number + 1)
 
 
@@ -209,16 +208,11 @@
     for number in range(200, 203):
         world.submit(batch(f"j-{number:06d}", 2), run_time=10.0, node=number)
     there = sorted({world.machine_of("j-000100/0"), world.machine_of("j-000000/0")})
-    if what == "cut":
-        for name in there:
-            world.cut(world.ip_of(name), [world.ip(node) for node in NODES], 14.0)
-    else:
-        world.machine_trouble(what, there, 14.0)
+    world.machine_trouble(what, there, 14.0)
     world.after(1.0, world.crash, leader_of(world), 3.0)
     for number, ref in enumerate(["j-000100", "j-000101", "j-000000"]):
         world.after(0.5 + number, world.cancel, ref, number)
-    world.run(30)
-    world.run(40)
+    world.run(70)
     assert len(world.told_cancelled) == 3, (world.gave_up, world.trace)
     ends_well(world)
 
@@ -244,12 +238,7 @@
 @pytest.mark.parametrize("what", ["cut", "deaf"])
 def test_the_leader_ends_while_machines_with_long_tasks_cannot_be_reached(what: str) -> None:
     world = busy(run_time=40.0)
-    names = sorted(world.workers)[:2]
-    for name in names:
-        if what == "cut":
-            world.cut(world.ip_of(name), [world.ip(node) for node in NODES], 9.0)
-        else:
-            world.machine_trouble("deaf", [name], 9.0)
+    world.machine_trouble(what, sorted(world.workers)[:2], 9.0)
     world.run(0.5)
     change_leader(world)
     world.run(8)
@@ -325,7 +314,7 @@
     world.run(8)
     # Some machines begin a new session; others are hung, replaced, and known only by copies.
     names = sorted(world.workers)
-    world.cut(world.ip_of(names[0]), [world.ip(node) for node in NODES], 11.0)
+    world.machine_trouble("cut", [names[0]], 11.0)
     world.machine_trouble("hung", names[1:2], 30.0)
     world.run(16)
     world.crash(leader_of(world), back_after=2.0)
@@ -420,7 +409,7 @@
     steady_work(world, 40.0)
     for turn in range(6):
         name = sorted(world.workers)[turn % len(world.workers)]
-        world.cut(world.ip_of(name), [world.ip(node) for node in NODES], 2.0 + turn)
+        world.machine_trouble("cut", [name], 2.0 + turn)
         world.machine_trouble("hung", [name], 1.0 + turn / 2)
         if turn % 3 == 2:
             world.crash(leader_of(world), back_after=1.0)
@@ -668,8 +657,7 @@
     world = busy(services=1, arrays=0)
     old = world.nodes[leader_of(world)]
     first, task = old.election.term, "j-000050/0"
-    for name in world.workers:
-        world.cut(world.ip_of(name), [world.ip(node) for node in NODES], 6.0)
+    world.machine_trouble("cut", list(world.workers), 6.0)
     world.submit(spec("j-000050", spread=False))
     world.run(0.5)
     assert old.leader.book.by_ref["j-000050"].placed
@@ -854,5 +842,4 @@
         world.submit(batch(ref, 3), run_time=5.0)
         world.after(for_s, world.cancel, ref)
     else:
-        for name in some:
-            world.cut(world.ip_of(name), [world.ip(node) for node in NODES], for_s)
+        world.machine_trouble("cut", some, for_s)
--- a/tests/world.py
+++ b/tests/world.py
@@ -70,8 +70,6 @@
         """Machines on which every task fails."""
         self.gave_up: list[str] = []
         """Cancellations that got no answer of use within 60 s."""
-        self.cancel_waits: list[float] = []
-        """How long users waited for their cancellations."""
         self._pages: dict[str, tuple[int, set[tuple[str, int, str]]]] = {}
         self._refs: dict[int, str] = {}
         self.told_cancelled: dict[str, float] = {}
@@ -244,9 +242,13 @@
         Client(self.user, (self.ip(node), 8080)).request("POST", wire.BEAT, report, 4.0, lambda _: None)
 
     def machine_trouble(self, what: str, machines: list[str], for_s: float) -> None:
-        """`what`: hung, deaf (answers and orders lost, reports arrive) or mute (reaches no controller)."""
+        """`what`: hung, deaf (answers and orders lost, reports arrive), mute (reaches no controller) or cut (from all
+        controllers: what is sent is held)."""
         for name in machines:
             self.note(f"{name} is {what}")
+            if what == "cut":
+                self.cut(self.ip_of(name), [self.ip(node) for node in self.names], for_s)
+                continue
             setattr(self.workers[name], what, True)
             self.after(for_s, setattr, self.workers[name], what, False)
 
@@ -327,7 +329,6 @@
             if status == 200:
                 if body["stage"] == wire.ABORTED and ref not in self.told_cancelled:
                     self.told_cancelled[ref] = self.sim.time
-                    self.cancel_waits.append(self.sim.time - first)
                 self.note(f"user: {ref} {body['stage']}")
             elif self.sim.time - first < 60.0:
                 self.after(1.0, self.cancel, ref, node + 1, first)
@@ -336,15 +337,14 @@
 
         self.call(self.names[node % len(self.names)], "POST", f"{wire.WORK}/{ref}/cancel", None, done)
 
-    def look_closely(self, ref: str, resubmit: bool = True) -> None:
+    def look_closely(self, ref: str) -> None:
         """Its user asks at all nodes, again and again within milliseconds, and repeats the submission."""
         for turn in range(4):
             for number, name in enumerate(self.names):
                 delay = 0.004 * turn + 0.001 * number
                 self.after(delay, self.call, name, "GET", f"{wire.WORK}/{ref}", None, lambda *_: None)
-                if resubmit:
-                    body = wire.submission(self.specs[ref])
-                    self.after(delay, self.call, name, "POST", wire.WORK, body, lambda *_: None)
+                body = wire.submission(self.specs[ref])
+                self.after(delay, self.call, name, "POST", wire.WORK, body, lambda *_: None)
 
     def ask(self, ref: str) -> tuple[int, Any]:
         """Polls any node until one answers other than 503, at most 20 s."""
