Reading: cleaning weighs the book only when it may clean; confirmations leave no timers behind

No behaviour changes. The cheap conditions come first, since cleaning is asked for with every watch now; a confirmation that was answered leaves no timer to wake the loop for nothing; a round is counted once.

--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -162,11 +162,10 @@
         """Cleans the oldest page when the pages hold much more than what they still mean.
 
         A crash between the new records and the drop leaves both: replay takes the later ones."""
-        if len(self._pages) <= FEW_PAGES:
+        if self._cleaning or self._queue or self._busy or len(self._pages) <= FEW_PAGES:
             return
-        oldest = min((page for page in self._pages if page != ORIGIN), default=self._filling)
-        few = FEW_PAGES + 2 * self.book.weight() // self._page_bytes
-        if self._cleaning or self._queue or self._busy or len(self._pages) <= few or oldest >= self._filling - 1:
+        oldest = min(page for page in self._pages if page != ORIGIN)
+        if oldest >= self._filling - 1 or len(self._pages) <= FEW_PAGES + 2 * self.book.weight() // self._page_bytes:
             return
         at_home = [job for job in self.book.jobs.values() if job.home == oldest]
         if any(job.final and not job.placed and not job.told for job in at_home):
@@ -333,10 +332,10 @@
         if generation != self.generation:
             return
         asked, self._askers = self._askers, []
-        self._round += 1
         number = self._round
 
         def told(outcome: Outcome, _: int) -> None:
+            timer.cancel()
             current = generation == self.generation
             for asker in asked:
                 asker.tell(current and outcome is Outcome.DONE)
@@ -351,7 +350,7 @@
                 self._askers = [asker for asker in asked if asker.done is not None] + self._askers
                 self._next_round(generation, number)
 
-        self.later(self._first, unanswered)
+        timer = self.later(self._first, unanswered)
         self._store.transact({LEAD: self._version}, {}, [], told)
 
     def _next_round(self, generation: int, number: int) -> None:
