--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import logging
 import os
 import random
 import sys
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from . import __version__, policy
 from .settings import Settings, SettingsError, address, load
 
+if TYPE_CHECKING:
+    from .loop import Loop
+    from .node import Node
+
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 DONE, REFUSED, BAD_INPUT = 0, 1, 2
 
@@ -42,20 +47,30 @@
         raise BadInput(str(fault)) from None
 
 
+def import_runtime() -> tuple[type[Loop], type[Node]]:
+    """Imports what only a controller needs: `check` and `--help` do without its libraries."""
+    from .loop import Loop
+    from .node import Node
+
+    return Loop, Node
+
+
 def _serve(arguments: argparse.Namespace) -> int:
+    # What a start allocates stays for good: collections would look for garbage in vain, now and
+    # again each time that the state of the jobs has grown.
+    gc.disable()
     settings = _settings(arguments)
     ratios = policy.build(_policy(arguments, settings))
     _logging()
-    # Imported here so that `check` and `--help` need none of the run-time libraries.
-    from .loop import Loop
-    from .node import Node
-
+    Loop, Node = import_runtime()
     loop = Loop()
     try:
         Node(loop, settings, ratios, random.Random())
     except OSError as fault:
         print(f"flaxtally: can't listen: {fault}", file=sys.stderr)
         return REFUSED
+    gc.freeze()
+    gc.enable()
     loop.run()
     return DONE
 
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,70 @@
+"""What a start of a controller costs, by counts: at a fifth of a core a tenth of a second of
+processor time is half a second in which users and workers are without this controller.
+"""
+
+import os
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LIST_MODULES = """
+import sys
+sys.path[:0] = [{root!r}, {root!r} + "/target/deps"]
+from flaxtally.cli import import_runtime
+import_runtime()
+for name, module in sorted(sys.modules.items()):
+    cached = getattr(getattr(module, "__spec__", None), "cached", None)
+    print(name, cached or "-")
+"""
+MOST_MODULES = 230
+"""About 180 in use (those of the interpreter's own start included)."""
+OF_OTHER_COMMANDS = ("asyncio", "http", "email", "ssl", "subprocess", "flaxtally.standin", "tests")
+
+
+def modules_of_serve(cache: Path) -> dict[str, str]:
+    """The modules that `serve` imports, with where each one's compiled form would be."""
+    listed = subprocess.run(
+        [sys.executable, "-B", "-c", LIST_MODULES.format(root=str(ROOT))],
+        env=os.environ | {"PYTHONPYCACHEPREFIX": str(cache)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return dict(line.split(" ", 1) for line in listed.stdout.splitlines())
+
+
+def test_the_build_leaves_nothing_to_compile_at_a_start(tmp_path: Path) -> None:
+    # A controller can't write beside its sources: what the build left out was compiled anew at
+    # each start, and took longer than everything else in it.
+    environment = {
+        name: value for name, value in os.environ.items() if name != "PYTHONDONTWRITEBYTECODE"
+    }
+    subprocess.run(
+        [sys.executable, "run.py", "--warm-up"],
+        cwd=ROOT,
+        env=environment | {"PYTHONPYCACHEPREFIX": str(tmp_path)},
+        check=True,
+    )
+    ours = {
+        name: cached
+        for name, cached in modules_of_serve(tmp_path).items()
+        if name.split(".")[0] in ("flaxtally", "msgspec", "cbor2") and cached.endswith(".pyc")
+    }
+    assert len(ours) > 40
+    assert [name for name, cached in ours.items() if not Path(cached).exists()] == []
+
+
+def test_the_deploy_file_starts_with_what_its_build_compiled() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())
+    cache = "pycache_prefix=target/pycache"
+    assert cache in deploy["run"].split()
+    assert deploy["build"].split()[-1] == "--warm-up"
+    assert cache in deploy["build"].split()
+
+
+def test_serve_imports_little(tmp_path: Path) -> None:
+    modules = modules_of_serve(tmp_path)
+    assert len(modules) < MOST_MODULES
+    assert [name for name in OF_OTHER_COMMANDS if name in modules] == []
--- /dev/null
+++ b/tools/profile_controller.py
@@ -0,0 +1,271 @@
+"""Where a controller's processor time goes, by duty: `python3 tools/profile_controller.py`.
+
+Real controllers serve a simulated deployment (the tests' stand-ins, clock and network) with
+hundreds of machines, arrivals and polls. Each duty's entry points are wrapped by a meter that
+charges processor time to the innermost duty under way, so that the shares of a role add up to the
+whole of what its controllers' own code took. Sockets and the selector are not in it.
+
+Events, and events a second, repeat from run to run; microseconds don't: to compare two versions of
+the sources, run both in turn, several times. `--functions ROLE` instead prints the costliest
+functions of that role by the standard profiler, which costs more than most of what it measures.
+"""
+
+from __future__ import annotations
+
+import argparse
+import cProfile
+import functools
+import importlib
+import pstats
+import random
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from flaxtally import wire
+from tests import sim, world
+
+DUTIES: dict[str, list[str]] = {
+    "reports": [
+        "dispatch:Dispatch.beat",
+        "dispatch:Dispatch.forwarded",
+        "lead.tracker:Tracker.on_report",
+    ],
+    "users": [
+        "intake:Intake.handle",
+        "intake:Intake.asked",
+        "intake:Intake.answered",
+        "intake:Intake._renew",
+    ],
+    "peers": ["peers:Peers.send", "peers:Peers._flush", "peers:Frames.feed"],
+    "mail": ["mail:Mail._turn"],
+    "heartbeats": ["election:Election._beat", "election:Election.heartbeat"],
+    "leader key": ["election:Election._probe", "election:Election._read"],
+    "commit": [
+        "ledger.commit:Ledger.propose",
+        "ledger.commit:Ledger._commit",
+        "ledger.commit:Ledger._committed",
+        "ledger.commit:Ledger._ask",
+    ],
+    "cleaning": ["ledger.commit:Ledger.clean"],
+    "replay": ["ledger.commit:Ledger.open", "leader:Leader._ready"],
+    "orders": ["lead.orders:Orders._send", "dispatch:Dispatch.order", "dispatch:Dispatch.carried"],
+    "pass": ["lead.scheduler:Scheduler._schedule"],
+    "plan": ["lead.planner:Planner.plan"],
+    "consolidation": [
+        "lead.consolidation:Consolidation.consolidate",
+        "lead.consolidation:Consolidation.continue_moves",
+    ],
+    "watch": ["lead.tracker:Tracker.watch", "lead.stragglers:Stragglers.watch"],
+    "http server": ["http:ServerConn._data", "http:ServerConn.answer", "http:Server._accept"],
+    "http client": ["http:Client.request", "http:Client._data", "http:Client._expired"],
+}
+LOOP = "other"
+LEADER, FOLLOWER, STAND_INS = "leader", "follower", "stand-ins"
+MOST_FUNCTIONS = 50
+REPLICA_IMAGES, BATCH_IMAGES = 16, 12
+ARRAY_SIZES = (4, 8, 12, 12, 20, 40)
+
+
+class Meter:
+    """Charges processor time to the innermost duty under way, apart for each role."""
+
+    def __init__(self) -> None:
+        self.role = STAND_INS
+        self._stack = [LOOP]
+        self.reset()
+
+    def reset(self) -> None:
+        self.spent: dict[tuple[str, str], float] = {}
+        self.events: dict[tuple[str, str], int] = {}
+        self.longest: dict[tuple[str, str], float] = {}
+        self._since = time.perf_counter()
+
+    def switch(self) -> float:
+        """Charges the time since the last switch to the innermost duty."""
+        now = time.perf_counter()
+        key = self.role, self._stack[-1]
+        self.spent[key] = self.spent.get(key, 0.0) + now - self._since
+        self._since = now
+        return now
+
+    def run_as(self, role: str, fn: Callable[..., Any], *args: Any) -> None:
+        """A call on a host of that role."""
+        self.switch()
+        self.role = role
+        try:
+            fn(*args)
+        finally:
+            self.switch()
+            self.role = STAND_INS
+
+    def wrap(self, duty: str, fn: Callable[..., Any]) -> Callable[..., Any]:
+        @functools.wraps(fn)
+        def metered(*args: Any, **named: Any) -> Any:
+            began = self.switch()
+            self._stack.append(duty)
+            try:
+                return fn(*args, **named)
+            finally:
+                ended = self.switch()
+                self._stack.pop()
+                key = self.role, duty
+                self.events[key] = self.events.get(key, 0) + 1
+                self.longest[key] = max(self.longest.get(key, 0.0), ended - began)
+
+        return metered
+
+    def table(self, role: str, seconds: float, controllers: int) -> str:
+        """What one controller of the role did in so many simulated seconds."""
+        spent = {duty: took for (of, duty), took in self.spent.items() if of == role}
+        whole = sum(spent.values()) or 1.0
+        lines = [
+            f"{role:14} {'events/s':>9} {'us/event':>9} {'ms/s':>7} {'share':>6} {'longest':>9}"
+        ]
+        for duty, took in sorted(spent.items(), key=lambda item: -item[1]):
+            events = self.events.get((role, duty), 0)
+            each = f"{took / events * 1e6:9.0f}" if events else f"{'-':>9}"
+            longest = self.longest.get((role, duty), 0.0) * 1000
+            lines.append(
+                f"{duty:14} {events / seconds / controllers:9.1f} {each} "
+                f"{took * 1000 / seconds / controllers:7.2f} {took / whole:6.1%} {longest:6.1f} ms"
+            )
+        share = whole / seconds / controllers
+        lines.append(f"in all {share:.4f} of a core for each second served")
+        return "\n".join(lines)
+
+
+def meter_duties(meter: Meter) -> None:
+    """Wraps the duties' entry points."""
+    for duty, places in DUTIES.items():
+        for place in places:
+            module, _, name = place.partition(":")
+            owner_name, _, method = name.partition(".")
+            owner = getattr(importlib.import_module(f"flaxtally.{module}"), owner_name)
+            found = owner.__dict__[method]
+            plain = found.__func__ if isinstance(found, staticmethod) else found
+            metered = meter.wrap(duty, plain)
+            setattr(owner, method, staticmethod(metered) if found is not plain else metered)
+
+
+def intercept_calls(role_of: Callable[[str], str], run_as: Callable[..., None]) -> None:
+    """Has every call on a simulated host made by `run_as`, which is told the host's role."""
+    call = sim.Host.call
+
+    def as_role(host: sim.Host, fn: Callable[..., None], *args: Any) -> None:
+        run_as(role_of(host.ip), call, host, fn, *args)
+
+    sim.Host.call = as_role  # type: ignore[method-assign]
+
+
+class Load:
+    """Users of the simulated deployment: jobs of three classes, and polls."""
+
+    def __init__(self, deployment: world.World, jobs_a_second: float, polls: float) -> None:
+        self._world, self._rng = deployment, random.Random(7)
+        self._jobs_a_second, self.polls = jobs_a_second, polls
+        self._jobs = 0
+
+    def begin(self, gates: int) -> None:
+        """Standing replicas first, then arrivals."""
+        for _ in range(gates):
+            self._submit_gate()
+        self._arrive()
+        self._poll()
+
+    def _submit_gate(self) -> None:
+        self._jobs += 1
+        image = f"gate-{self._rng.randrange(REPLICA_IMAGES)}"
+        tasks = self._rng.choice((2, 3, 6))
+        job = world.spec(f"j-{self._jobs:06d}", tasks=tasks, image=image)
+        self._world.submit(job, node=self._jobs)
+
+    def _submit_array(self) -> None:
+        self._jobs += 1
+        ref, image = f"j-{self._jobs:06d}", f"batch-{self._rng.randrange(BATCH_IMAGES)}"
+        length = self._rng.uniform(20.0, 50.0)
+        job = world.batch(ref, self._rng.choice(ARRAY_SIZES), image=image)
+        self._world.submit(job, run_time=length, node=self._jobs)
+
+    def _arrive(self) -> None:
+        self._world.after(self._rng.expovariate(self._jobs_a_second), self._arrive)
+        if self._rng.random() < 0.25:
+            self._submit_gate()
+        else:
+            self._submit_array()
+
+    def _poll(self) -> None:
+        self._world.after(self._rng.expovariate(self.polls), self._poll)
+        ref = f"j-{self._rng.randrange(self._jobs) + 1:06d}"
+        node = self._rng.choice(self._world.names)
+        self._world.call(node, "GET", f"{wire.WORK}/{ref}", None, lambda *_: None)
+
+
+def deploy(capacity: int) -> tuple[world.World, Callable[[str], str]]:
+    """A deployment, and what role a host plays in it."""
+    team = world.Team("crew", 0.0, 20000.0, 0.0, 4000.0)
+    deployment = world.World(capacity=capacity, team=team)
+    names = {deployment.ip(name): name for name in deployment.names}
+
+    def role_of(ip: str) -> str:
+        if ip not in names:
+            return STAND_INS
+        return LEADER if deployment.nodes[names[ip]].election.leading else FOLLOWER
+
+    return deployment, role_of
+
+
+def report_duties(deployment: world.World, meter: Meter, seconds: float, text: str) -> None:
+    """Plays that many seconds and prints what the controllers did."""
+    meter.reset()
+    deployment.run(seconds)
+    print(f"-- {text}: {len(deployment.workers)} machines, {len(deployment.running)} tasks")
+    print(meter.table(LEADER, seconds, 1))
+    print(meter.table(FOLLOWER, seconds, len(deployment.nodes) - 1))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="Where a controller's processor time goes.")
+    parser.add_argument("--capacity", type=int, default=33, help="machines a pool (of eight)")
+    parser.add_argument("--gates", type=int, default=200, help="standing services at the start")
+    parser.add_argument("--arrivals", type=float, default=1.2, help="jobs a second")
+    parser.add_argument("--polls", type=float, default=20.0, help="polls a second")
+    parser.add_argument("--storm", type=float, default=20.0, help="times as many polls")
+    parser.add_argument("--warm-up", type=float, default=60.0, metavar="SECONDS")
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--functions", choices=(LEADER, FOLLOWER), metavar="ROLE")
+    arguments = parser.parse_args()
+
+    deployment, role_of = deploy(arguments.capacity)
+    load = Load(deployment, arguments.arrivals, arguments.polls)
+    load.begin(arguments.gates)
+    deployment.run(arguments.warm_up)
+    if arguments.functions:
+        profile = cProfile.Profile()
+
+        def profiled(role: str, fn: Callable[..., Any], *args: Any) -> None:
+            if role == arguments.functions:
+                profile.runcall(fn, *args)
+            else:
+                fn(*args)
+
+        intercept_calls(role_of, profiled)
+        deployment.run(arguments.seconds)
+        load.polls *= arguments.storm
+        deployment.run(arguments.seconds)
+        pstats.Stats(profile).sort_stats("tottime").print_stats(MOST_FUNCTIONS)
+        return
+    meter = Meter()
+    meter_duties(meter)
+    intercept_calls(role_of, meter.run_as)
+    report_duties(deployment, meter, arguments.seconds, f"steady, {load.polls:g} polls/s")
+    load.polls *= arguments.storm
+    report_duties(deployment, meter, arguments.seconds, f"poll storm, {load.polls:g} polls/s")
+
+
+if __name__ == "__main__":
+    main()
