--- a/tests/sim.py
+++ b/tests/sim.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -68,6 +69,11 @@
         self._frozen_at: float | None = None
         self._held_events: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self._held_calls: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self.call_seconds = 0.0
+        """What each call takes: more than nothing for a host whose processor is slow."""
+        self._busy_until = 0.0
+        self.queue: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
+        """Calls that wait for the processor."""
 
     def now(self) -> float:
         return self.sim.time
@@ -84,8 +90,13 @@
         if timer.live and self._frozen_at is not None:
             self._held_calls.append((self._fire, (timer,)))
         elif timer.live:
+            self.call(self._expire, timer)
+
+    @staticmethod
+    def _expire(timer: Timer) -> None:
+        if timer.live:
             fn, args = timer.take()
-            self.call(fn, *args)
+            fn(*args)
 
     def soon(self, fn: Callable[..., None], *args: Any) -> None:
         self.sim.at(self.sim.time, self._call_soon, fn, *args)
@@ -100,8 +111,29 @@
         """What comes from outside: data, connections, their ends."""
         if self._frozen_at is not None:
             self._held_events.append((fn, args))
-        elif self.alive:
-            fn(*args)
+            return
+        if not self.call_seconds and not self.queue:
+            if self.alive:
+                fn(*args)
+            return
+        self.queue.append((fn, args))
+        if len(self.queue) == 1:
+            self.sim.at(max(self.sim.time, self._busy_until), self._work)
+
+    def _work(self) -> None:
+        """Makes the calls that waited for the processor, in order, as it has time for them."""
+        while self.queue and self._busy_until <= self.sim.time:
+            if self._frozen_at is not None:
+                self._held_events += self.queue
+                self.queue.clear()
+                return
+            fn, args = self.queue[0]
+            self._busy_until = self.sim.time + self.call_seconds
+            if self.alive:
+                fn(*args)
+            self.queue.popleft()
+        if self.queue:
+            self.sim.at(self._busy_until, self._work)
 
     def on_pause(self, least: float, notify: Callable[[float], None]) -> None:
         self._pause_watchers.append((least, notify))
--- a/tests/world.py
+++ b/tests/world.py
@@ -304,6 +304,13 @@
         self.note(f"{node} stands still")
         self.sim.hosts[self.ip(node)].freeze(for_s)
 
+    def slow_processor(self, node: str, call_seconds: float, for_s: float) -> None:
+        """Each call of the controller's takes that long; what comes meanwhile waits its turn."""
+        self.note(f"{node} has a slow processor")
+        host = self.sim.hosts[self.ip(node)]
+        host.call_seconds = call_seconds
+        self.after(for_s, setattr, host, "call_seconds", 0.0)
+
     def slow_state(self, seconds: float, for_s: float) -> None:
         self.state.slow = seconds
         self.after(for_s, setattr, self.state, "slow", 0.0)
