Readable code: confirmations of leadership are a module of their own

ledger/commit.py was the longest part of the leader; who waits for leadership to be confirmed, and the transactions for that, are now ledger/confirmation.py, one object per version of the leader key in place of generations. When a damaged ledger is found, those who wait are now told at once instead of forgotten.

--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -26,6 +26,7 @@
 from ..loop import Runtime
 from ..store import Outcome, Store
 from .book import CATALOG, FINAL, JOB, Book, Record
+from .confirmation import Confirmation
 
 log = logging.getLogger(__name__)
 
@@ -56,20 +57,6 @@
     pages: list[int]
 
 
-class _ConfirmationRequest:
-    """Who wants leadership confirmed, until it is told once."""
-
-    __slots__ = ("done",)
-
-    def __init__(self, done: Callable[[bool], None]) -> None:
-        self.done: Callable[[bool], None] | None = done
-
-    def tell(self, leading: bool) -> None:
-        done, self.done = self.done, None
-        if done is not None:
-            done(leading)
-
-
 class Ledger(Actor):
     """Owns the pages. `lost` is called when somebody else leads."""
 
@@ -108,11 +95,13 @@
         self._pages: dict[int, int] = {}
         self._filling = 1
         self._content: list[Record] = []
+        self._content_page = 0
+        """The page whose records `_content` holds."""
         self._size = 0
         self._busy = self._armed = False
-        self._confirmation_requests: list[_ConfirmationRequest] = []
-        self._confirming = False
-        self._round = 0
+        self._confirmation = Confirmation(
+            self.runtime, self._store, version, self._first, self._gather, self._lost
+        )
         self._drops: list[int] = []
         self._cleaning = False
 
@@ -122,10 +111,9 @@
 
     def _restart(self, version: int) -> None:
         """Forgets everything; who waits for leadership to be confirmed is told that it is not."""
-        waiting = self._confirmation_requests
+        confirmation = self._confirmation
         self._reset(version)
-        for request in waiting:
-            request.tell(False)
+        confirmation.close()
 
     def open(self, version: int, ready: Then) -> None:
         """Reads all pages under a leader key of this version.
@@ -154,7 +142,7 @@
                 # To serve without a part of it could start a task twice: nothing is served until it
                 # is mended.
                 log.error("event=ledger_damaged page=%s why=%r", row.key, fault)
-                self._reset(version)
+                self._restart(version)
                 self.later(10 * self._retry, self._open_again, self.generation, version, ready)
                 return
             for job in self.book.jobs.values():
@@ -306,8 +294,6 @@
         numbers = [ORIGIN, *pages] if ORIGIN in created else list(pages)
         self._send(_Transaction(generation, guards, puts, drops, numbers), unsure=False)
 
-    _content_page = 0
-
     def _send(self, transaction: _Transaction, unsure: bool) -> None:
         """Sends it until its outcome is known. `unsure`: a copy may have been applied."""
         pages = transaction.pages
@@ -380,48 +366,6 @@
         if generation == self.generation:
             then()
 
-    # Leadership confirmed after a question
-
     def confirm(self, done: Callable[[bool], None]) -> None:
         """`done(True)` once a compare-only transaction sent after this call shows that we lead."""
-        self._confirmation_requests.append(_ConfirmationRequest(done))
-        if not self._confirming:
-            self._confirming = True
-            self.later(self._gather / 2, self._ask, self.generation)
-
-    def _ask(self, generation: int) -> None:
-        if generation != self.generation:
-            return
-        asked, self._confirmation_requests = self._confirmation_requests, []
-        number = self._round
-
-        def told(outcome: Outcome, _: int) -> None:
-            timer.cancel()
-            current = generation == self.generation
-            for request in asked:
-                request.tell(current and outcome is Outcome.DONE)
-            if current and outcome is Outcome.FAILED:
-                self._lost()
-            else:
-                self._next_round(generation, number)
-
-        def unanswered() -> None:
-            # The answer may be lost: they are asked for again with whoever came since. An answer
-            # still counts.
-            if generation == self.generation and number == self._round:
-                self._confirmation_requests = [
-                    request for request in asked if request.done is not None
-                ] + self._confirmation_requests
-                self._next_round(generation, number)
-
-        timer = self.later(self._first, unanswered)
-        self._store.transact({LEAD: self._version}, {}, [], told)
-
-    def _next_round(self, generation: int, number: int) -> None:
-        if generation != self.generation or number != self._round:
-            return
-        self._round += 1
-        if self._confirmation_requests:
-            self.later(self._gather, self._ask, generation)
-        else:
-            self._confirming = False
+        self._confirmation.confirm(done)
