--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -68,3 +68,15 @@
     modules = modules_of_serve(tmp_path)
     assert len(modules) < MOST_MODULES
     assert [name for name in OF_OTHER_COMMANDS if name in modules] == []
+
+
+def test_the_profile_names_entry_points_that_exist() -> None:
+    # A duty whose entry point was renamed would be charged to others without a word.
+    listed = subprocess.run(
+        [sys.executable, "tools/profile_controller.py", "--duties"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert len(listed.stdout.splitlines()) > 20
--- a/tools/profile_controller.py
+++ b/tools/profile_controller.py
@@ -49,7 +49,7 @@
         "ledger.commit:Ledger.propose",
         "ledger.commit:Ledger._commit",
         "ledger.commit:Ledger._committed",
-        "ledger.commit:Ledger._ask",
+        "ledger.confirmation:Confirmation._ask",
     ],
     "cleaning": ["ledger.commit:Ledger.clean"],
     "replay": ["ledger.commit:Ledger.open", "leader:Leader._ready"],
@@ -238,9 +238,14 @@
     parser.add_argument("--warm-up", type=float, default=60.0, metavar="SECONDS")
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--functions", choices=(LEADER, FOLLOWER), metavar="ROLE")
+    parser.add_argument("--duties", action="store_true", help="list the entry points, no run")
     arguments = parser.parse_args()
 
     meter = Meter()
+    if arguments.duties:
+        meter_duties(meter)
+        print("\n".join(f"{duty}: {place}" for duty in DUTIES for place in DUTIES[duty]))
+        return
     if not arguments.functions:
         # Before the controllers exist: they hold on to their own methods.
         meter_duties(meter)
