--- a/flaxtally/http.py
+++ b/flaxtally/http.py
@@ -169,7 +169,7 @@
             self._step()
         if self._parser.buffered > MOST_BUFFERED:
             # Nobody who waits for answers sends so much ahead of them.
-            log.warning("%s sends without waiting for answers", self._stream.far)
+            log.debug("%s sends without waiting for answers", self._stream.far)
             self.shut()
 
     def _step(self) -> None:
--- a/flaxtally/loop.py
+++ b/flaxtally/loop.py
@@ -35,7 +35,7 @@
 
     Once it is cancelled or due it lets go of what it was to call. Who waits for an answer holds
     the timer, and the timer's call holds who waits: kept, each pair was garbage that only the
-    cyclic collector finds, and its passes held up a leader for seconds in a storm of questions.
+    cyclic collector finds, and its passes held up a leader for a second in a storm of questions.
     """
 
     __slots__ = ("_args", "_fn", "live", "when")
--- a/run.py
+++ b/run.py
@@ -1,7 +1,7 @@
 """Deploy form of `python3 -m flaxtally serve`: finds the built dependencies, then starts.
 
 `deploy/service.toml` has it run without the environment's `site` hooks, which are not needed here
-and cost a fifth of the start. `run.py --warm-up` is the last step of its build: what `serve`
+and cost time at each start. `run.py --warm-up` is the last step of its build: what `serve`
 imports is compiled into `target/pycache`, so that no start of a controller compiles anything.
 """
 
