Tests: malformed requests and frames at many times the usual rate

400 malformed submissions or reports a second at three controllers: each is answered 400 within half a second, the state service sees next to no changes, nobody else leads. Nonsense on the port for controllers ends just its connection.

--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,95 @@
+"""Malformed input at many times the usual rate: it is turned away at once, costs the state service
+nothing, and neither ends a controller nor changes who leads.
+"""
+
+import struct
+
+import pytest
+
+from flaxtally import wire
+from flaxtally.peers import FRAME_LIMIT, encode
+
+from .world import World, spec
+
+A_SECOND = 400
+
+
+def calm_world() -> World:
+    world = World()
+    world.submit(spec("j-000001", tasks=2))
+    world.run(15.0)
+    assert world.count("j-000001") == 2
+    return world
+
+
+def terms(world: World) -> int:
+    return max(node.election.term for node in world.nodes.values())
+
+
+def changes(world: World) -> int:
+    """Changes at the state service so far: revisions rise by one with each."""
+    return max(stamp for _, stamp, _ in world.state.rows.values())
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "expected"),
+    [
+        (wire.WORK, b"\xc1", 400),
+        (wire.WORK, {"ref": "x" * 300, "lane": 7}, 400),
+        (wire.WORK, [[[[[[1]]]]]], 400),
+        (wire.BEAT, {"rig": 5}, 400),
+        (wire.BEAT, b"\x91" * 500, 400),
+    ],
+)
+def test_malformed_requests_are_answered_at_once(path: str, body: object, expected: int) -> None:
+    world = calm_world()
+    before, term = changes(world), terms(world)
+    answers: list[int] = []
+    delays: list[float] = []
+
+    def ask(node: str) -> None:
+        asked_at = world.sim.time
+
+        def told(status: int, _: object) -> None:
+            answers.append(status)
+            delays.append(world.sim.time - asked_at)
+
+        world.call(node, "POST", path, body, told)
+
+    for number in range(2 * A_SECOND):
+        world.after(number / A_SECOND, ask, world.names[number % len(world.names)])
+    world.run(4.0)
+    assert answers == [expected] * (2 * A_SECOND)
+    assert max(delays) < 0.5
+    assert terms(world) == term
+    # The leader's own lease is all that is written meanwhile.
+    assert changes(world) - before <= 8
+    assert world.ask("j-000001")[1]["running"] == 2
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        struct.pack(">I", FRAME_LIMIT + 1),
+        struct.pack(">I", 3) + b"\xff\xff\xff",
+        encode({"k": "hello", "node": "nobody"}),
+        encode({"k": "hb", "term": 10**6, "leader": "hearth-0"}),
+        encode({"k": "hello", "node": "hearth-1"}) + struct.pack(">I", 1) + b"\x00",
+    ],
+)
+def test_nonsense_between_controllers_ends_just_its_connection(data: bytes) -> None:
+    world = calm_world()
+    term, closed = terms(world), list[int]()
+    for number in range(200):
+
+        def dial(number: int = number) -> None:
+            stream = world.user.connect((world.ip("hearth-0"), 8081))
+            stream.on_close = lambda: closed.append(number)
+            stream.send(data)
+
+        world.after(number * 0.01, dial)
+    world.run(6.0)
+    assert len(closed) == 200
+    assert terms(world) == term
+    assert world.ask("j-000001")[1]["running"] == 2
