--- a/flaxtally/loop.py
+++ b/flaxtally/loop.py
@@ -300,7 +300,7 @@
         for key, mask in ready:
             self._call(key.data, (mask,))
         now = self._checkpoint()
-        if self._delay_monitor is not None and self._timers:
+        if self._delay_monitor is not None and self._timers and self._timers[0][0] <= now:
             self._delay_monitor.fired(now - self._timers[0][0], now)
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
--- a/flaxtally/standin/cloud.py
+++ b/flaxtally/standin/cloud.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -12,6 +12,18 @@
 from ..loop import Address, Runtime
 
 
+def equal_pools(
+    types: Iterable[wire.MachineType], zones: Iterable[str], machines: int
+) -> dict[tuple[str, str, bool], int]:
+    """As many machines in each pool: by type and zone, spot and not."""
+    return {
+        (kind.name, zone, spot): machines
+        for kind in types
+        for zone in zones
+        for spot in (False, True)
+    }
+
+
 class Cloud:
     """`start(machine)` is called when a machine is up and `end(machine)` when it is gone."""
 
--- a/flaxtally/standin/demo.py
+++ b/flaxtally/standin/demo.py
@@ -11,7 +11,7 @@
 from .. import wire
 from ..ledger import book as records
 from ..loop import Address, Loop
-from .cloud import Cloud
+from .cloud import Cloud, equal_pools
 from .state import StateService
 from .worker import Worker
 
@@ -118,12 +118,7 @@
             loop,
             (HOST, first + 1),
             TYPES,
-            {
-                (kind.name, zone, spot): CAPACITY
-                for kind in TYPES
-                for zone in ZONES
-                for spot in (False, True)
-            },
+            equal_pools(TYPES, ZONES, CAPACITY),
             lambda count: f"{HOST}:{first + 20 + count}",
             self._start,
             self._end,
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from flaxtally.loop import Address, Stream, Timer
-from flaxtally.loop_delay import DelayMonitor, LoopDelay
+from flaxtally.loop_delay import LoopDelay
 
 
 def nothing(*_: Any) -> None:
@@ -65,7 +65,6 @@
         self.streams: list[SimStream] = []
         self.listening: dict[int, Callable[[Stream], None]] = {}
         self._pause_watchers: list[tuple[float, Callable[[float], None]]] = []
-        self._delay_monitor: DelayMonitor | None = None
         self._frozen_at: float | None = None
         self._held_events: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self._held_calls: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
@@ -139,7 +138,7 @@
         self._pause_watchers.append((least, notify))
 
     def on_delay(self, least: float, period: float, notify: Callable[[LoopDelay], None]) -> None:
-        self._delay_monitor = DelayMonitor(least, period, notify)
+        """Delays are for the operators of a real loop: here `queue` tells."""
 
     def freeze(self, for_s: float) -> None:
         """The process stands still while its clocks run on; its kernel still takes packets."""
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -9,6 +9,7 @@
 from flaxtally import wire
 from flaxtally.peers import FRAME_LIMIT, encode
 
+from .scenarios import term
 from .world import World, spec
 
 A_SECOND = 400
@@ -22,10 +23,6 @@
     return world
 
 
-def terms(world: World) -> int:
-    return max(node.election.term for node in world.nodes.values())
-
-
 def changes(world: World) -> int:
     """Changes at the state service so far: revisions rise by one with each."""
     return max(stamp for _, stamp, _ in world.state.rows.values())
@@ -43,7 +40,7 @@
 )
 def test_malformed_requests_are_answered_at_once(path: str, body: object, expected: int) -> None:
     world = calm_world()
-    before, term = changes(world), terms(world)
+    before, led = changes(world), term(world)
     answers: list[int] = []
     delays: list[float] = []
 
@@ -61,7 +58,7 @@
     world.run(4.0)
     assert answers == [expected] * (2 * A_SECOND)
     assert max(delays) < 0.5
-    assert terms(world) == term
+    assert term(world) == led
     # The leader's own lease is all that is written meanwhile.
     assert changes(world) - before <= 8
     assert world.ask("j-000001")[1]["running"] == 2
@@ -80,7 +77,7 @@
 )
 def test_nonsense_between_controllers_ends_just_its_connection(data: bytes) -> None:
     world = calm_world()
-    term, closed = terms(world), list[int]()
+    led, closed = term(world), list[int]()
     for number in range(200):
 
         def dial(number: int = number) -> None:
@@ -91,5 +88,5 @@
         world.after(number * 0.01, dial)
     world.run(6.0)
     assert len(closed) == 200
-    assert terms(world) == term
+    assert term(world) == led
     assert world.ask("j-000001")[1]["running"] == 2
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,14 +1,16 @@
 """The loop's own work, by counts: timers that stay, garbage that needs collecting, delays."""
 
 import gc
-import time
 from functools import partial
 
+import pytest
+
 from flaxtally import wire
 from flaxtally.http import MOST_BUFFERED
 from flaxtally.loop import FEW_TIMERS, Loop
 from flaxtally.loop_delay import DelayMonitor, LoopDelay, callback_name
 
+from .scenarios import leader_of
 from .world import World, spec
 
 POLLS = 300
@@ -131,22 +133,35 @@
     pass
 
 
+class ClockSelector:
+    """Stands in for the loop's selector: nothing arrives, and waiting moves the clock."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def now(self) -> float:
+        return self.time
+
+    def select(self, wait: float | None) -> list[object]:
+        self.time += wait or 0.0
+        return []
+
+
 def test_the_loop_tells_that_it_is_behind() -> None:
-    loop, told = Loop(), list[LoopDelay]()
+    loop, clock, told = Loop(), ClockSelector(), list[LoopDelay]()
+    loop.selector, loop.now = clock, clock.now  # type: ignore[assignment]
     loop.on_delay(0.02, 10.0, told.append)
 
     def busy() -> None:
-        until = time.monotonic() + 0.06
-        while time.monotonic() < until:
-            pass
+        clock.time += 0.06
 
     loop.after(0.0, busy)
     loop.after(0.005, lambda: None)
     loop.after(0.08, loop.stop)
     loop.run()
     assert len(told) == 1
-    assert told[0].late > 0.02
-    assert told[0].longest >= 0.06
+    assert told[0].late == pytest.approx(0.055)
+    assert told[0].longest == pytest.approx(0.06)
     assert told[0].callback.endswith("busy")
 
 
@@ -154,7 +169,7 @@
     # Of a connection with a request under way everything that came was kept, whatever its size.
     world = World()
     world.run(5.0)
-    leader = world.leader()
+    leader = leader_of(world)
     follower = next(name for name in world.names if name != leader)
     stream = world.user.connect((world.ip(follower), 8080))
     closed: list[float] = []
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -11,9 +11,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 LIST_MODULES = """
 import sys
-sys.path[:0] = [{root!r}, {root!r} + "/target/deps"]
-from flaxtally.cli import import_runtime
-import_runtime()
+sys.path.insert(0, {root!r})
+import run
+run.import_runtime()
 for name, module in sorted(sys.modules.items()):
     cached = getattr(getattr(module, "__spec__", None), "cached", None)
     print(name, cached or "-")
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,7 +14,7 @@
 from flaxtally.ledger import book as records
 from flaxtally.node import Node
 from flaxtally.settings import Objective, Settings, Team
-from flaxtally.standin.cloud import Cloud
+from flaxtally.standin.cloud import Cloud, equal_pools
 from flaxtally.standin.state import StateService
 from flaxtally.standin.worker import Worker
 
@@ -118,12 +118,7 @@
             self.sim.host(CLOUD[0]),
             CLOUD,
             TYPES,
-            {
-                (kind.name, zone, spot): capacity
-                for kind in TYPES
-                for zone in ZONES
-                for spot in (False, True)
-            },
+            equal_pools(TYPES, ZONES, capacity),
             lambda count: f"10.1.{count // 250}.{count % 250 + 1}:9000",
             self._start_worker,
             self._end_worker,
--- a/tools/profile_controller.py
+++ b/tools/profile_controller.py
@@ -163,7 +163,7 @@
 
 
 class Load:
-    """Users of the simulated deployment: jobs of three classes, and polls."""
+    """Users of the simulated deployment: gate services, arrays, and polls."""
 
     def __init__(self, deployment: world.World, jobs_a_second: float, polls: float) -> None:
         self._world, self._rng = deployment, random.Random(7)
