--- a/flaxtally/http.py
+++ b/flaxtally/http.py
@@ -16,6 +16,8 @@
 
 HEAD_LIMIT = 16 * 1024
 BODY_LIMIT = 64 * 1024
+MOST_BUFFERED = 2 * (HEAD_LIMIT + BODY_LIMIT)
+"""Bytes kept of one connection: a client may send its next request while one is under way."""
 CROWDED = 0.8
 REASONS = {
     200: "OK",
@@ -66,6 +68,11 @@
     def idle(self) -> bool:
         return self._start is None and not self._buffer
 
+    @property
+    def buffered(self) -> int:
+        """Bytes that came and belong to no message yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> None:
         self._buffer += data
 
@@ -160,6 +167,10 @@
         self._parser.feed(data)
         if not self._busy:
             self._step()
+        if self._parser.buffered > MOST_BUFFERED:
+            # Nobody who waits for answers sends so much ahead of them.
+            log.warning("%s sends without waiting for answers", self._stream.far)
+            self.shut()
 
     def _step(self) -> None:
         try:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from flaxtally import wire
+from flaxtally.http import MOST_BUFFERED
 from flaxtally.loop import FEW_TIMERS, Loop
 from flaxtally.loop_delay import DelayMonitor, LoopDelay, callback_name
 
@@ -147,3 +148,21 @@
     assert told[0].late > 0.02
     assert told[0].longest >= 0.06
     assert told[0].callback.endswith("busy")
+
+
+def test_who_sends_without_waiting_for_answers_is_cut_off() -> None:
+    # Of a connection with a request under way everything that came was kept, whatever its size.
+    world = World()
+    world.run(5.0)
+    leader = world.leader()
+    follower = next(name for name in world.names if name != leader)
+    stream = world.user.connect((world.ip(follower), 8080))
+    closed: list[float] = []
+    stream.on_close = lambda: closed.append(world.sim.time)
+    world.freeze(leader, 2.0)
+    stream.send(b"GET /work/j-000001 HTTP/1.1\r\n\r\n" + b"x" * MOST_BUFFERED)
+    stream.send(b"x")
+    world.run(0.2)
+    assert len(closed) == 1
+    world.run(10.0)
+    assert world.ask("j-000001")[0] == 404
--- a/tools/profile_controller.py
+++ b/tools/profile_controller.py
@@ -240,6 +240,10 @@
     parser.add_argument("--functions", choices=(LEADER, FOLLOWER), metavar="ROLE")
     arguments = parser.parse_args()
 
+    meter = Meter()
+    if not arguments.functions:
+        # Before the controllers exist: they hold on to their own methods.
+        meter_duties(meter)
     deployment, role_of = deploy(arguments.capacity)
     load = Load(deployment, arguments.arrivals, arguments.polls)
     load.begin(arguments.gates)
@@ -259,8 +263,6 @@
         deployment.run(arguments.seconds)
         pstats.Stats(profile).sort_stats("tottime").print_stats(MOST_FUNCTIONS)
         return
-    meter = Meter()
-    meter_duties(meter)
     intercept_calls(role_of, meter.run_as)
     report_duties(deployment, meter, arguments.seconds, f"steady, {load.polls:g} polls/s")
     load.polls *= arguments.storm
