Rules of the protocol become a module of the package: the emulator checks them too

Change: tests/rules.py moves to flaxtally/emulator/rules.py; a job keeps the zones of its running tasks, since a search over all running tasks at each start is quadratic at thousands of them. No rule changed.

--- a/tests/rules.py
+++ b/flaxtally/emulator/rules.py
@@ -1,8 +1,7 @@
-"""The protocol's rules, checked from outside: by what workers run, users are told and the cloud
-takes back.
+"""The protocol's rules, checked from outside: by what workers run and what users are told.
 
-Knows nothing of the code under test. A broken rule is kept in `broken`; the world ends the test
-with it.
+Knows nothing of the controllers' state. Broken rules are kept in `broken`; whoever feeds the events
+(the tests' simulated world, the emulator) ends its run with them.
 """
 
 from __future__ import annotations
@@ -10,8 +9,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from flaxtally import wire
-from flaxtally.settings import Team
+from .. import wire
+from ..settings import Team
 
 FINAL = (wire.DONE, wire.ABORTED)
 UNANSWERED_S = 75.0
@@ -28,6 +27,8 @@
         self.told: str | None = None
         self.told_at = self.accepted_at = float("inf")
         self.done: set[str] = set()
+        self.on: dict[str, str] = {}
+        """The zone of each of its tasks that is on a machine."""
         self.answered_at = 0.0
         self.waits_since: float | None = None
 
@@ -86,30 +87,26 @@
         if spec is None:
             self.breaks("nobody_asked", task, now)
             return
-        if not _allowed(spec, machine, self._zones(spec)):
+        if not _allowed(spec, machine, list(job.on.values())):
             self.breaks(
                 "wrong_place", f"{task} on {machine.type} {machine.zone} spot={machine.spot}", now
             )
         job.waits_since = None
         self.on[task] = machine, attempt
+        job.on[task] = machine.zone
         used = self.used.setdefault(spec.team, [0.0, 0.0])
         used[0] += spec.cores
         used[1] += spec.gpus
         if _over(self.teams[spec.team], used[0] - SLACK, used[1] - SLACK):
             self.breaks("quota", f"{spec.team} uses {used}", now)
 
-    def _zones(self, spec: wire.Spec) -> list[str]:
-        """Of the job's tasks that are on machines."""
-        return [
-            there.zone for other, (there, _) in self.on.items() if other.startswith(spec.ref + "/")
-        ]
-
     def ends(self, task: str, attempt: int, machine: str, done: bool) -> None:
         there = self.on.get(task)
         if there is None or (there[0].machine, there[1]) != (machine, attempt):
             return
         del self.on[task]
         job = self.job(task.partition("/")[0])
+        del job.on[task]
         assert job.spec is not None
         self.used[job.spec.team][0] -= job.spec.cores
         self.used[job.spec.team][1] -= job.spec.gpus
@@ -196,8 +193,9 @@
     def look_when_calm(
         self, now: float, calm_since: float, machines: list[tuple[wire.Listed, set[str]]]
     ) -> None:
-        """Once all troubles are over. `machines`: those that are up, and the tasks on each, with
-        those that fetch.
+        """Once all troubles are over.
+
+        `machines`: those that are up, and the tasks on each, with those that fetch.
         """
         held = {task for _, tasks in machines for task in tasks}
         rooms = [(machine, self._room(machine, tasks)) for machine, tasks in machines]
@@ -233,7 +231,7 @@
         team, used = self.teams[spec.team], self.used.get(spec.team, [0.0, 0.0])
         if _over(team, used[0] + spec.cores, used[1] + spec.gpus):
             return False
-        zones = self._zones(spec)
+        zones = list(self.job(spec.ref).on.values())
         return any(
             room[0] >= spec.cores
             and room[1] >= spec.gpus
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -1,6 +1,7 @@
 """Combinations of faults: each case of `docs/fault_combinations.md`, brought about and seen.
 
-The rules (`tests/rules.py`) are checked in every world, all along and once the troubles are over.
+The rules (`flaxtally/emulator/rules.py`) are checked in every world, all along and once the
+troubles are over.
 """
 
 from __future__ import annotations
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,9 +8,9 @@
 import pytest
 
 from flaxtally import wire
+from flaxtally.emulator.rules import Rules
 from flaxtally.settings import Team
 
-from .rules import Rules
 from .world import CANCEL_S, TYPES, batch, spec
 
 REF = "j-000001"
--- a/tests/world.py
+++ b/tests/world.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from flaxtally import policy, wire
+from flaxtally.emulator.rules import Rules
 from flaxtally.http import Client, Reply
 from flaxtally.ledger import book as records
 from flaxtally.node import Node
@@ -18,7 +19,6 @@
 from flaxtally.standin.state import StateService
 from flaxtally.standin.worker import Worker
 
-from .rules import Rules
 from .sim import Sim
 
 STATE, CLOUD, USER = ("10.2.0.1", 2379), ("10.2.0.2", 8443), "10.3.0.1"
