Stand-ins enforce the platform's rates and page the cloud's list

Change: optional limits (429 above the rate, bursts as PROTOCOL has them), pages of 500 machines, machines that are up at the start.

--- a/flaxtally/cloud.py
+++ b/flaxtally/cloud.py
@@ -46,6 +46,13 @@
     def take(self, cost: float) -> None:
         self._level -= cost
 
+    def try_take(self, cost: float) -> bool:
+        """Takes `cost` if it can be taken now."""
+        if self.wait(cost):
+            return False
+        self.take(cost)
+        return True
+
     def empty(self) -> None:
         self._level = 0.0
 
--- a/flaxtally/standin/cloud.py
+++ b/flaxtally/standin/cloud.py
@@ -4,13 +4,20 @@
 
 import random
 from collections.abc import Callable, Iterable
+from urllib.parse import parse_qs
 
 import msgspec
 
 from .. import wire
+from ..cloud import Bucket
 from ..http import Request, Server
 from ..loop import Address, Runtime
 
+MOST_LISTED = 500
+"""PROTOCOL: machines a page of the list."""
+OLDEST_S = 1e6
+"""The age of machines that were there before the stand-in began."""
+
 
 def equal_pools(
     types: Iterable[wire.MachineType], zones: Iterable[str], machines: int
@@ -44,6 +51,10 @@
         self._asked_at: dict[str, float] = {}
         self._answers: dict[str, list[str]] = {}
         self.down = False
+        self.limit: Bucket | None = None
+        """PROTOCOL: above it requests are answered 429; None: unlimited."""
+        self.limited = 0
+        """Requests that were answered 429."""
         self.boots_fail = False
         self.boot: float | None = None
         """Seconds that every machine rented from now on takes to boot; None: about its type's boot
@@ -68,16 +79,28 @@
             self.asked.append(msgspec.msgpack.decode(request.body, type=wire.Rental).request)
         if self.down:
             request.reply(503, {"error": "trouble"})
+        elif self.limit is not None and not self.limit.try_take(1):
+            self.limited += 1
+            request.reply(429, {"error": "too many"})
         elif path == wire.CATALOG:
             request.reply(200, wire.Catalog(self._types))
         elif path == wire.RELEASE:
-            for name in msgspec.msgpack.decode(request.body, type=wire.Release).machines:
-                self.take(name)
-            request.reply(200, {})
+            self._release(request, msgspec.msgpack.decode(request.body, type=wire.Release).machines)
         elif request.method == "POST":
             self._rent(request, msgspec.msgpack.decode(request.body, type=wire.Rental))
         else:
-            request.reply(200, wire.Listing(self._list()))
+            self._list_page(request)
+
+    def _release(self, request: Request, names: list[str]) -> None:
+        for name in names:
+            self.take(name)
+        request.reply(200, {})
+
+    def _list_page(self, request: Request) -> None:
+        query = parse_qs(request.path.partition("?")[2])
+        after, most = query.get("after", [""])[0], int(query.get("most", [str(MOST_LISTED)])[0])
+        machines = [machine for machine in self._list() if machine.machine > after]
+        request.reply(200, wire.Listing(machines[:most], len(machines) > most))
 
     def _list(self) -> list[wire.Listed]:
         """The machines as they were a while ago, in the order of their names."""
@@ -89,9 +112,8 @@
             if self._asked_at[name] <= then:
                 up = self._up_at.get(name, float("inf")) <= then
                 state = machine.state if up or machine.state == wire.FAILED else wire.BOOTING
-                listed.append(
-                    msgspec.structs.replace(machine, age=then - self._asked_at[name], state=state)
-                )
+                age = min(then - self._asked_at[name], OLDEST_S)
+                listed.append(msgspec.structs.replace(machine, age=age, state=state))
         return listed
 
     def _rent(self, request: Request, rental: wire.Rental) -> None:
@@ -105,6 +127,12 @@
             self._answers[rental.request] = [self.add(*pool) for _ in range(count)]
         request.reply(200, wire.Rented(self._answers[rental.request]))
 
+    def add_running(self, machine: wire.Listed) -> None:
+        """A machine that is up already, with its worker, and was rented long ago."""
+        self._count += 1
+        self.machines[machine.machine] = machine
+        self._asked_at[machine.machine] = self._up_at[machine.machine] = float("-inf")
+
     def add(self, kind: str, zone: str, spot: bool, boot: float | None = None) -> str:
         """A machine that boots from now on."""
         name = f"n-{self._count:06d}"
--- a/flaxtally/standin/state.py
+++ b/flaxtally/standin/state.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .. import wire
+from ..cloud import Bucket
 from ..http import Request, Server
 from ..loop import Address, Runtime
 
@@ -39,6 +40,12 @@
         self.over_limit: list[str] = []
         """Transactions beyond `txn_ops` or `value_bytes`, said in words; they are carried out."""
         self.txn_ops, self.value_bytes = 32, 8 * 1024
+        self.request_limit: Bucket | None = None
+        """PROTOCOL: above it requests are answered 429; None: unlimited."""
+        self.change_limit: Bucket | None = None
+        """The same for puts and drops, those of failed transactions too."""
+        self.limited = 0
+        """Requests that were answered 429."""
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1
         self.changes = 0
@@ -56,6 +63,9 @@
             return
         self._expire()
         self.requests += 1
+        if self.request_limit is not None and not self.request_limit.try_take(1):
+            self._refuse(request)
+            return
         path, _, query = request.path.partition("?")
         if path == wire.TXN:
             self._txn(request)
@@ -118,9 +128,16 @@
         if self.lost_share and self._rng.random() < self.lost_share:
             self._runtime.after(self._rng.uniform(*self.lost_delay), self._late, txn)
             return
+        if self.change_limit is not None and not self.change_limit.try_take(len(txn.apply)):
+            self._refuse(request)
+            return
         status, body = self.transact(txn)
         request.reply(status, body)
 
+    def _refuse(self, request: Request) -> None:
+        self.limited += 1
+        request.reply(429, {"error": "too many"})
+
     def _late(self, txn: wire.Txn) -> None:
         self.late.append(self.transact(txn)[0])
 
