--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -20,6 +20,7 @@
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 DONE, REFUSED, BAD_INPUT = 0, 1, 2
+EMULATE = "emulate"
 
 
 class BadInput(Exception):
@@ -166,6 +167,12 @@
         raise BadInput(f"{arguments.folder}: {fault}") from None
 
 
+def _emulate(words: list[str]) -> int:
+    from .emulator import command
+
+    return command.main(words)
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="flaxtally", description="A scheduler for fleets that serve language models."
@@ -219,13 +226,18 @@
         metavar="N",
         help="the first of the ports; default: 21000",
     )
+    # Its options are its own parser's: a controller's start does without importing them.
+    commands.add_parser(EMULATE, help="play a whole deployment on loopback", add_help=False)
     return parser
 
 
 def main(argv: list[str] | None = None) -> int:
     """Runs the command line; returns the exit code."""
-    arguments = _parser().parse_args(argv)
+    words = sys.argv[1:] if argv is None else argv
     try:
+        if words[:1] == [EMULATE]:
+            return _emulate(words[1:])
+        arguments = _parser().parse_args(words)
         code: int = arguments.run(arguments)
     except BadInput as fault:
         print(f"flaxtally: {fault}", file=sys.stderr)
--- /dev/null
+++ b/flaxtally/emulator/command.py
@@ -0,0 +1,135 @@
+"""The command line of the emulator: `python3 -m flaxtally emulate scale`."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+from pathlib import Path
+from typing import Any, NoReturn
+
+from .plan import Plan
+
+DONE, FAILED, BAD_INPUT = 0, 1, 2
+SMALLEST = 4
+DEFAULT = Plan(workers=250)
+
+
+def _positive(text: str) -> float:
+    value = float(text)
+    if not 0 < value < float("inf"):
+        raise argparse.ArgumentTypeError(f"{text} is not above 0")
+    return value
+
+
+def _count(text: str) -> int:
+    value = int(text)
+    if value < 1:
+        raise argparse.ArgumentTypeError(f"{text} is not above 0")
+    return value
+
+
+def _sizes(text: str) -> list[int]:
+    sizes = [int(entry) for entry in text.split(",")]
+    if any(size < SMALLEST for size in sizes):
+        raise argparse.ArgumentTypeError(f"a size is below {SMALLEST}")
+    return sizes
+
+
+def parser() -> argparse.ArgumentParser:
+    """The emulator's own command line."""
+    emulate = argparse.ArgumentParser(
+        prog="flaxtally emulate",
+        description="A whole deployment on loopback, with load and faults.",
+    )
+    commands = emulate.add_subparsers(dest="what", required=True, metavar="COMMAND")
+    text = (
+        "Real controllers on loopback, stand-ins of state service, cloud and workers, a load by "
+        "the expected fleet's ratios. Steps the fleet's size up, holds each, then ends the "
+        "leader, restarts workers and silences a zone; checks the rules over all starts and ends. "
+        "Needs the libraries of requirements-emulator.txt. Exit code 1: a rule was broken, or a "
+        "process died; 2: an option, or the machine, doesn't allow the run."
+    )
+    scale = commands.add_parser("scale", help="find what saturates first", description=text)
+    scale.set_defaults(run=run_scale)
+    scale.add_argument(
+        "--workers",
+        type=_sizes,
+        default=[250, 500],
+        metavar="N,N,…",
+        help="sizes to play, in this order; default: 250,500",
+    )
+    scale.add_argument("--out", type=Path, required=True, metavar="DIR", help="results and logs")
+    _add_plan_options(scale)
+    return emulate
+
+
+def main(words: list[str]) -> int:
+    """Runs the command line; returns the exit code."""
+    arguments = parser().parse_args(words)
+    code: int = arguments.run(arguments)
+    return code
+
+
+def _add_plan_options(scale: argparse.ArgumentParser) -> None:
+    def add(name: str, kind: Any, text: str) -> None:
+        field = name.removeprefix("--").replace("-", "_")
+        default = getattr(DEFAULT, field)
+        scale.add_argument(
+            name, type=kind, default=default, metavar="N", help=f"{text}; default: {default:g}"
+        )
+
+    add("--seconds", _positive, "how long a size is held, and at least disturbed")
+    add("--warm-up", _positive, "seconds at most until the standing replicas run")
+    add("--seed", int, "the same seed draws the same load")
+    add("--port", _count, "the first of the ports")
+    add("--controllers", _count, "real controllers")
+    add("--zones", _count, "zones; the last one falls silent")
+    add("--workers-per-process", _count, "hollow workers that a process plays")
+    add("--state-rps", _positive, "the state service's requests a second")
+    add("--state-write-rps", _positive, "the state service's changes a second")
+    add("--report-s", _positive, "seconds between a worker's reports")
+    add("--lease-s", _positive, "a worker's lease, in seconds")
+    add("--tasks-per-worker", _positive, "running tasks a worker")
+    add("--starts-per-worker", _positive, "starts a second and worker")
+    add("--array-tasks", _count, "mean tasks of a batch job")
+    scale.add_argument(
+        "--break-rule",
+        action="store_true",
+        help="have a worker start a task twice: the run must notice it and end with exit code 1",
+    )
+
+
+def _plans(arguments: argparse.Namespace) -> list[Plan]:
+    fields = {name for name in Plan.__struct_fields__ if name != "workers"}
+    options = {name: value for name, value in vars(arguments).items() if name in fields}
+    return [Plan(workers=workers, **options) for workers in arguments.workers]
+
+
+def _terminated(*_: object) -> NoReturn:
+    raise KeyboardInterrupt
+
+
+def run_scale(arguments: argparse.Namespace) -> int:
+    """Plays the sizes; results go to standard output, progress to standard error."""
+    try:
+        from . import limits, scale
+        from .processes import ProcessEnded
+    except ModuleNotFoundError as fault:
+        print(
+            f"flaxtally: {fault.name} is missing: pip install -r requirements-emulator.txt",
+            file=sys.stderr,
+        )
+        return BAD_INPUT
+    signal.signal(signal.SIGTERM, _terminated)
+    try:
+        arguments.out.mkdir(parents=True, exist_ok=True)
+        result = scale.run(_plans(arguments), arguments.out)
+    except (limits.LimitError, OSError) as fault:
+        print(f"flaxtally: {fault}", file=sys.stderr)
+        return BAD_INPUT
+    except ProcessEnded as fault:
+        print(f"flaxtally: {fault}", file=sys.stderr)
+        return FAILED
+    print("\n".join(scale.report(result)))
+    return FAILED if result.rules_broken else DONE
--- /dev/null
+++ b/flaxtally/emulator/coordinator.py
@@ -0,0 +1,297 @@
+"""Plays one size: starts the processes, lets the load begin, measures, brings faults about."""
+
+from __future__ import annotations
+
+import logging
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from ..actor import Actor
+from ..loop import Loop, Stream
+from ..loop_delay import LoopDelay
+from .history import History
+from .load import Load
+from .messages import (
+    Begin,
+    Channel,
+    Counters,
+    Events,
+    Hello,
+    LoopLate,
+    MachinesTaken,
+    MachineUp,
+    Message,
+    RestartWorkers,
+    Samples,
+    SilenceZone,
+    TakeMachines,
+)
+from .node_settings import settings_page
+from .part import LATE_S, OUTSIDE, USERS, WORKERS
+from .plan import Plan, save
+from .processes import ProcessEnded, Processes
+
+log = logging.getLogger(__name__)
+
+STEADY, DISTURBED = "steady", "disturbed"
+"""The phases: nothing happens; a leader ends, workers restart, a zone falls silent."""
+LED = re.compile(r"event=lead node=\S+ term=([0-9]+)")
+TAKEOVER_POLL_S = 0.1
+SAMPLE_S = 1.0
+CONNECT_PATIENCE_S = 30.0
+READY_SHARE = 0.95
+"""The warm-up is over when so much of the standing replicas runs."""
+RESTART_DELAY_S = 2.0
+"""A controller that was ended is started again after this."""
+RESTARTED_SHARE = 0.05
+SILENCE_LEASES = 1.5
+LEADER_ENDS_AT, WORKERS_RESTART_AT, ZONE_SILENT_AT = 0.0, 0.2, 0.35
+"""When the faults come, by the length of the disturbed phase."""
+AFTER_SILENCE_LEASES = 1.0
+"""The disturbed phase lasts at least so long after the zone is heard again."""
+
+
+class Phase(NamedTuple):
+    """A stretch of the run that is measured by itself; times of the steady clock in seconds."""
+
+    name: str
+    begins: float
+    ends: float
+
+
+class Term(NamedTuple):
+    """A term and who leads in it; number 0: nobody has led."""
+
+    number: int
+    leader: str
+
+
+class Late(NamedTuple):
+    """A part of the emulator that was behind."""
+
+    at: float
+    part: str
+    seconds: float
+
+
+class Recording:
+    """All that a run left: the raw material of its results."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.history = History(plan)
+        self.samples: dict[str, list[tuple[float, list[float]]]] = {}
+        """Delays by what was measured, in pieces with the time at which each came."""
+        self.counters: dict[str, list[Counters]] = {}
+        self.late: list[Late] = []
+        self.phases: list[Phase] = []
+        self.warm_up_s: float | None = None
+        """How long the standing replicas took to run; None: longer than was waited for."""
+        self.leaders: dict[str, str] = {}
+        """Which controller led when a phase began, by the phase."""
+        self.leader_ended_at: float | None = None
+        self.taken_over_at: float | None = None
+        """When another controller had begun to lead."""
+        self.zone_silent: tuple[float, float] | None = None
+
+
+class Coordinator(Actor):
+    """Owns the processes of one size and the phases of its run."""
+
+    def __init__(self, loop: Loop, plan: Plan, folder: Path, progress: Callable[[str], None]):
+        super().__init__(loop)
+        self._loop, self._plan, self._folder, self._progress = loop, plan, folder, progress
+        self._load = Load(plan)
+        self._channels: list[Channel] = []
+        self._failure: Exception | None = None
+        self._began = False
+        self._started_at = loop.now()
+        self.processes = Processes()
+        self.recording = Recording(plan)
+
+    # Start and end
+
+    def run(self) -> Recording:
+        """Plays the size; raises `ProcessEnded` if a process dies that should live."""
+        plan_file = self._folder / "plan.json"
+        save(self._plan, plan_file)
+        self._loop.listen(self._plan.control, self._accept)
+        self._loop.on_delay(LATE_S, SAMPLE_S, self._on_delay)
+        try:
+            self._start_part(plan_file, OUTSIDE, 0)
+            for number in range(self._plan.worker_processes):
+                self._start_part(plan_file, WORKERS, number)
+            self._start_part(plan_file, USERS, 0)
+            for number, name in enumerate(self._plan.nodes):
+                settings = self._folder / f"{name}.toml"
+                settings.write_text(settings_page(self._plan, number), encoding="utf-8")
+                arguments = ["-m", "flaxtally", "serve", "--config", str(settings)]
+                self.processes.start(name, arguments, self._folder / f"{name}.log")
+            self.every(SAMPLE_S, self._sample)
+            self._loop.run()
+        finally:
+            self.processes.end_all()
+        if self._failure is not None:
+            raise self._failure
+        return self.recording
+
+    def _start_part(self, plan_file: Path, role: str, number: int) -> None:
+        name = f"{role}-{number}"
+        arguments = ["-m", "flaxtally.emulator.part", str(plan_file), role, str(number)]
+        self.processes.start(name, arguments, self._folder / f"{name}.log")
+
+    def _fail(self, failure: Exception) -> None:
+        self._failure = self._failure or failure
+        self._loop.stop()
+
+    def _on_delay(self, delay: LoopDelay) -> None:
+        self.recording.late.append(Late(self.runtime.now(), "coordinator", delay.late))
+
+    # Parts
+
+    def _accept(self, stream: Stream) -> None:
+        self._channels.append(Channel(stream, self._receive, self._closed))
+
+    def _closed(self, channel: Channel) -> None:
+        self._channels.remove(channel)
+        self._fail(
+            ProcessEnded(f"{channel.role}-{channel.number} ended: see its log in {self._folder}")
+        )
+
+    def _send(self, message: Message, role: str) -> None:
+        for channel in self._channels:
+            if channel.role == role:
+                channel.send(message)
+
+    def _receive(self, channel: Channel, message: Any) -> None:
+        recording, now = self.recording, self.runtime.now()
+        if isinstance(message, Events):
+            recording.history.add(message.events)
+        elif isinstance(message, Samples):
+            recording.samples.setdefault(message.name, []).append((now, message.values))
+        elif isinstance(message, Counters):
+            name = f"{message.role}-{message.number}"
+            recording.counters.setdefault(name, []).append(message)
+        elif isinstance(message, LoopLate):
+            part = f"{message.role}-{message.number}"
+            recording.late.append(Late(now, part, message.late))
+        elif isinstance(message, MachineUp):
+            recording.history.add_machine(message.machine)
+            number = self._plan.process_of(message.machine.machine)
+            for other in self._channels:
+                if (other.role, other.number) == (WORKERS, number):
+                    other.send(message)
+        elif isinstance(message, TakeMachines):
+            self._send(message, WORKERS)
+        elif isinstance(message, MachinesTaken):
+            self._send(message, OUTSIDE)
+        elif isinstance(message, Hello):
+            channel.role, channel.number = message.role, message.number
+
+    # Phases
+
+    def _sample(self) -> None:
+        now = self.runtime.now()
+        self.processes.sample(now)
+        try:
+            self.processes.check()
+        except ProcessEnded as failure:
+            self._fail(failure)
+            return
+        if not self._began:
+            self._begin_when_connected(now)
+        elif not self.recording.phases:
+            self._hold_when_warm(now)
+
+    def _begin_when_connected(self, now: float) -> None:
+        roles = [channel.role for channel in self._channels]
+        if (
+            roles.count(WORKERS) == self._plan.worker_processes
+            and OUTSIDE in roles
+            and USERS in roles
+        ):
+            self._began, self._started_at = True, now
+            self._send(Begin(), USERS)
+            self._progress(f"{self._plan.workers} workers: the load begins")
+        elif now - self._started_at > CONNECT_PATIENCE_S:
+            self._fail(ProcessEnded(f"not all parts began in {CONNECT_PATIENCE_S:g} s"))
+
+    def running(self) -> float:
+        """Tasks that run, as the workers counted last."""
+        last = [
+            counters[-1].totals["running"]
+            for name, counters in self.recording.counters.items()
+            if name.startswith(WORKERS)
+        ]
+        return sum(last)
+
+    def _hold_when_warm(self, now: float) -> None:
+        warming, wanted = now - self._started_at, READY_SHARE * self._load.service_replicas
+        running = self.running()
+        if running < wanted and warming < self._plan.warm_up:
+            return
+        if running >= wanted:
+            self.recording.warm_up_s = warming
+        self._progress(
+            f"{self._plan.workers} workers: held after {warming:.0f} s, {running:.0f} tasks run"
+        )
+        steady = Phase(STEADY, now, now + self._plan.seconds)
+        silence = SILENCE_LEASES * self._plan.lease_s
+        disturbed_s = max(
+            self._plan.seconds,
+            (silence + AFTER_SILENCE_LEASES * self._plan.lease_s) / (1 - ZONE_SILENT_AT),
+        )
+        disturbed = Phase(DISTURBED, steady.ends, steady.ends + disturbed_s)
+        self.recording.phases += [steady, disturbed]
+        self.recording.leaders[steady.name] = highest_term(self._plan, self._folder).leader
+        self.later(steady.ends - now, self._disturb, disturbed)
+        self.later(disturbed.ends - now, self._loop.stop)
+
+    def _disturb(self, phase: Phase) -> None:
+        length = phase.ends - phase.begins
+        self.later(LEADER_ENDS_AT * length, self._end_leader)
+        self.later(WORKERS_RESTART_AT * length, self._restart_workers)
+        self.later(ZONE_SILENT_AT * length, self._silence_zone)
+
+    def _end_leader(self) -> None:
+        name = highest_term(self._plan, self._folder).leader
+        if not name:
+            self._progress("no controller leads: none is ended")
+            return
+        self._progress(f"{name} leads and is ended")
+        controller = self.processes[name]
+        controller.kill()
+        self.recording.leader_ended_at = self.runtime.now()
+        self.later(RESTART_DELAY_S, controller.start)
+        self._wait_for_takeover(highest_term(self._plan, self._folder))
+
+    def _wait_for_takeover(self, ended: Term) -> None:
+        newest = highest_term(self._plan, self._folder)
+        if newest.number > ended.number:
+            self.recording.taken_over_at = self.runtime.now()
+            self.recording.leaders[DISTURBED] = newest.leader
+        else:
+            self.later(TAKEOVER_POLL_S, self._wait_for_takeover, ended)
+
+    def _restart_workers(self) -> None:
+        self._progress(f"{RESTARTED_SHARE:.0%} of the workers restart")
+        self._send(RestartWorkers(RESTARTED_SHARE), WORKERS)
+
+    def _silence_zone(self) -> None:
+        zone, seconds = self._plan.zone_names[-1], SILENCE_LEASES * self._plan.lease_s
+        self._progress(f"{zone} is silent for {seconds:g} s")
+        now = self.runtime.now()
+        self.recording.zone_silent = now, now + seconds
+        self._send(SilenceZone(zone, seconds), WORKERS)
+
+
+def highest_term(plan: Plan, folder: Path) -> Term:
+    """The newest term, by the controllers' logs."""
+    found = Term(0, "")
+    for name in plan.nodes:
+        log_file = folder / f"{name}.log"
+        if log_file.exists():
+            text = log_file.read_text(encoding="utf-8", errors="replace")
+            found = max([found, *(Term(int(term), name) for term in LED.findall(text))])
+    return found
--- /dev/null
+++ b/flaxtally/emulator/fit.py
@@ -0,0 +1,73 @@
+"""Lines through the figures of several sizes, and what they say of a larger one."""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections.abc import Sequence
+
+import msgspec
+
+FEWEST_SIZES = 4
+NOT_LINEAR = 0.25
+"""A power of the size that differs from 1 by more than this is said to be not linear."""
+
+
+class Fit(msgspec.Struct):
+    """A figure as a line in the number of workers."""
+
+    figure: str
+    at_zero: float
+    per_worker: float
+    residual: float
+    """Root mean square of what the line misses, by the mean of the figures."""
+    power: float | None
+    """The figure grows with this power of the size (None: it is not positive everywhere)."""
+    target: int
+    at_target: float
+    factor: float
+    """The target by the largest size measured."""
+
+    @property
+    def linear(self) -> bool:
+        return self.power is None or abs(self.power - 1) <= NOT_LINEAR
+
+
+def fit(figure: str, sizes: Sequence[float], values: Sequence[float], target: int) -> Fit:
+    """The line of least squares; at least two sizes are needed."""
+    line = statistics.linear_regression(sizes, values)
+    missed = [
+        value - line.intercept - line.slope * size
+        for size, value in zip(sizes, values, strict=True)
+    ]
+    mean = statistics.fmean(values)
+    residual = math.sqrt(statistics.fmean(miss * miss for miss in missed))
+    power = None
+    if all(value > 0 for value in values):
+        logs = [math.log(size) for size in sizes], [math.log(value) for value in values]
+        power = round(statistics.linear_regression(*logs).slope, 3)
+    return Fit(
+        figure,
+        line.intercept,
+        line.slope,
+        residual / abs(mean) if mean else 0.0,
+        power,
+        target,
+        line.intercept + line.slope * target,
+        target / max(sizes),
+    )
+
+
+def table(fits: Sequence[Fit]) -> list[str]:
+    """The fits as lines for people."""
+    lines = [
+        f"{'figure':34} {'at zero':>11} {'a worker':>12} {'residual':>9} {'power':>6} "
+        f"{'at target':>11} {'factor':>7}"
+    ]
+    for entry in fits:
+        power = "-" if entry.power is None else f"{entry.power:.2f}"
+        lines.append(
+            f"{entry.figure:34} {entry.at_zero:11.4g} {entry.per_worker:12.4g} "
+            f"{entry.residual:9.1%} {power:>6} {entry.at_target:11.4g} {entry.factor:7.1f}"
+        )
+    return lines
--- /dev/null
+++ b/flaxtally/emulator/history.py
@@ -0,0 +1,155 @@
+"""The whole history of a run, put before the rules in the order of its times."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from itertools import pairwise
+
+from .. import wire
+from .load import Load, number_of
+from .messages import (
+    ANSWERS,
+    CANCEL_ASKED,
+    ENDED,
+    STARTED,
+    SUBMITTED,
+    Event,
+)
+from .plan import Plan
+from .rules import Rules
+
+LOOK_EVERY_S = 1.0
+EVENTS_SHOWN = 12
+TASK_OR_JOB = re.compile(r"j-[0-9]+(/[0-9]+)?")
+
+
+class BrokenRule:
+    """A broken rule and the events that show it."""
+
+    def __init__(self, text: str, events: list[Event]) -> None:
+        self.text, self.events = text, events
+
+    def lines(self) -> list[str]:
+        return [self.text, *(f"    {describe(event)}" for event in self.events)]
+
+
+def describe(event: Event) -> str:
+    """An event as one line."""
+    words = [f"{event.at:.3f}", event.kind, event.subject]
+    if event.machine:
+        words.append(f"machine={event.machine} attempt={event.attempt}")
+    if event.status:
+        words.append(f"asked_at={event.asked_at:.3f} status={event.status}")
+    if event.stage:
+        words.append(event.stage)
+    return " ".join(words)
+
+
+class History:
+    """Owns all events of a run, of all processes; their clocks are the machine's one."""
+
+    def __init__(self, plan: Plan) -> None:
+        self._plan, self._load = plan, Load(plan)
+        self._machines = {machine.machine: machine for machine in plan.machines}
+        self.events: list[Event] = []
+
+    def add_machine(self, machine: wire.Listed) -> None:
+        self._machines[machine.machine] = machine
+
+    def add(self, events: Iterable[Event]) -> None:
+        self.events += events
+
+    def check(self) -> list[BrokenRule]:
+        """All rules over all events. An empty list: none was broken."""
+        plan = self._plan
+        rules = Rules({team.name: team for team in plan.teams}, plan.types, plan.cancel_s)
+        self.events.sort(key=lambda event: event.at)
+        found: list[BrokenRule] = []
+        next_look = self.events[0].at if self.events else 0.0
+        for position, event in enumerate(self.events):
+            while event.at >= next_look:
+                rules.look(next_look)
+                next_look += LOOK_EVERY_S
+            self._feed(rules, event)
+            while len(rules.broken) > len(found):
+                found.append(self._explain(rules.broken[len(found)], event, position))
+        if not any(event.kind == STARTED for event in self.events):
+            found.append(BrokenRule("nothing_ran", []))
+        return found
+
+    def _feed(self, rules: Rules, event: Event) -> None:
+        if event.kind == STARTED:
+            machine = self._machines[event.machine]
+            rules.starts(event.subject, event.attempt, machine, event.at)
+        elif event.kind == ENDED:
+            done = event.stage == wire.CAUSE_DONE
+            rules.ends(event.subject, event.attempt, event.machine, done)
+        elif event.kind == SUBMITTED:
+            rules.submits(self._load.job(number_of(event.subject)).spec)
+        elif event.kind == CANCEL_ASKED:
+            rules.asks_to_cancel(event.subject)
+        elif event.kind in ANSWERS:
+            body = {"ref": event.body_ref, "stage": event.stage}
+            rules.answered(event.kind, event.subject, event.asked_at, event.at, event.status, body)
+
+    def _explain(self, text: str, event: Event, position: int) -> BrokenRule:
+        """The last events of the task or job that the rule names."""
+        named = TASK_OR_JOB.search(text)
+        subject = named.group() if named else event.subject
+        related = [
+            other
+            for other in self.events[: position + 1]
+            if other.subject in (subject, subject.partition("/")[0])
+        ]
+        return BrokenRule(text, related[-EVENTS_SHOWN:])
+
+    # Figures
+
+    def start_delays(self, since: float, until: float) -> dict[str, list[float]]:
+        """By lane: seconds from the first attempt to submit a job to the start of each task.
+
+        Of tasks of jobs that were submitted in that time; tasks that didn't start are not in it.
+        """
+        submitted: dict[str, float] = {}
+        started: set[str] = set()
+        delays: dict[str, list[float]] = {}
+        for event in self.events:
+            if event.kind == SUBMITTED and since <= event.at < until:
+                submitted[event.subject] = event.at
+            elif event.kind == STARTED and event.subject not in started:
+                started.add(event.subject)
+                first = submitted.get(event.subject.partition("/")[0])
+                if first is not None:
+                    lane = self._load.job(number_of(event.subject)).spec.lane
+                    delays.setdefault(lane, []).append(event.at - first)
+        return delays
+
+    def submitted_tasks(self, since: float, until: float) -> int:
+        """Tasks of the jobs that were submitted in that time."""
+        return sum(
+            self._load.job(number_of(event.subject)).spec.tasks
+            for event in self.events
+            if event.kind == SUBMITTED and since <= event.at < until
+        )
+
+    def starts(self, since: float, until: float) -> int:
+        """Starts of tasks in that time."""
+        return sum(event.kind == STARTED and since <= event.at < until for event in self.events)
+
+    def first_start_after(self, at: float) -> float | None:
+        """When the first task started after that."""
+        return min(
+            (event.at for event in self.events if event.kind == STARTED and event.at >= at),
+            default=None,
+        )
+
+    def longest_without(self, kinds: tuple[str, ...], since: float, until: float) -> float:
+        """The longest time between two accepted answers of these kinds."""
+        times = [
+            event.at
+            for event in self.events
+            if event.kind in kinds and event.status in (200, 201) and since <= event.at < until
+        ]
+        marks = [since, *sorted(times), until]
+        return max(later - earlier for earlier, later in pairwise(marks))
--- /dev/null
+++ b/flaxtally/emulator/limits.py
@@ -0,0 +1,79 @@
+"""What a run needs of the machine, checked before anything is started."""
+
+from __future__ import annotations
+
+import resource
+import socket
+
+import psutil
+
+from ..loop import Address
+from .plan import HOST, Plan
+
+FILES_PER_WORKER = 5
+"""Its listening socket, its own connection, and those of up to three controllers."""
+OTHER_FILES = 200
+MOST_PROCESSES = 200
+MEMORY_SHARE = 0.5
+MB = 2**20
+CONTROLLER_MB, PART_MB = 80, 60
+WORKER_KB, START_KB = 120, 2
+"""A hollow worker with its tasks; what the history keeps of a start."""
+
+
+class LimitError(Exception):
+    """The machine can't carry the run; the text says what is missing and which option lowers it."""
+
+
+def files_needed(plan: Plan) -> int:
+    """Open files of the process that needs most."""
+    hollow = min(plan.workers, plan.workers_per_process) * FILES_PER_WORKER
+    return max(hollow, plan.sockets) + OTHER_FILES
+
+
+def memory_needed(plan: Plan) -> int:
+    """Bytes, about, of all processes of the run."""
+    parts = plan.worker_processes + 3
+    seconds = plan.warm_up + 2 * plan.seconds
+    starts = plan.workers * (plan.tasks_per_worker + plan.starts_per_worker * seconds)
+    fixed = (plan.controllers * CONTROLLER_MB + parts * PART_MB) * MB
+    return round(fixed + plan.workers * WORKER_KB * 1024 + starts * START_KB * 1024)
+
+
+def check(plan: Plan) -> None:
+    """Raises `LimitError` for the first thing that is missing."""
+    processes = plan.controllers + plan.worker_processes + 3
+    if processes > MOST_PROCESSES:
+        raise LimitError(
+            f"{processes} processes are more than {MOST_PROCESSES}: lower --workers or "
+            "--controllers, or raise --workers-per-process"
+        )
+    files, allowed = files_needed(plan), resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if files > allowed:
+        raise LimitError(
+            f"a process needs {files} open files and may have {allowed} (ulimit -n): "
+            "lower --workers-per-process, or --workers if that is not enough"
+        )
+    memory = memory_needed(plan)
+    available = min(psutil.virtual_memory().total * MEMORY_SHARE, psutil.virtual_memory().available)
+    if memory > available:
+        raise LimitError(
+            f"about {memory // MB} MB are needed and {int(available) // MB} MB may be used (half "
+            "of the machine's memory at most): lower --workers or --seconds"
+        )
+    if plan.ports[-1] > 65535:
+        raise LimitError(f"port {plan.ports[-1]} is too high: lower --port or --controllers")
+    for port in plan.ports:
+        _check_free((HOST, port))
+    _check_free(plan.worker_address(0))
+
+
+def _check_free(address: Address) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(address)
+        except OSError as fault:
+            raise LimitError(
+                f"{address[0]}:{address[1]} can't be used ({fault.strerror}): choose another --port"
+            ) from None
--- /dev/null
+++ b/flaxtally/emulator/measured.py
@@ -0,0 +1,86 @@
+"""A loop that counts the bytes of its own connections, and a client that times its requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ..http import Client, Done, Reply
+from ..loop import Address, Loop, Stream
+
+
+class Traffic:
+    """Bytes of all counted connections, without what the system adds."""
+
+    def __init__(self) -> None:
+        self.sent = self.received = 0
+        self.connections = 0
+
+
+class _CountedStream:
+    """A stream that adds its bytes to the traffic."""
+
+    def __init__(self, stream: Stream, traffic: Traffic) -> None:
+        self._stream, self._traffic = stream, traffic
+        self._on_data: Callable[[bytes], None] = lambda _: None
+        self.far = stream.far
+        stream.on_data = self._received
+
+    @property
+    def on_data(self) -> Callable[[bytes], None]:
+        return self._on_data
+
+    @on_data.setter
+    def on_data(self, listener: Callable[[bytes], None]) -> None:
+        self._on_data = listener
+
+    @property
+    def on_close(self) -> Callable[[], None]:
+        return self._stream.on_close
+
+    @on_close.setter
+    def on_close(self, listener: Callable[[], None]) -> None:
+        self._stream.on_close = listener
+
+    def send(self, data: bytes) -> None:
+        self._traffic.sent += len(data)
+        self._stream.send(data)
+
+    def close(self) -> None:
+        self._stream.close()
+
+    def _received(self, data: bytes) -> None:
+        self._traffic.received += len(data)
+        self._on_data(data)
+
+
+class CountingLoop(Loop):
+    """Counts what goes over connections that are opened here; accepted ones are not counted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.traffic = Traffic()
+
+    def connect(self, address: Address) -> Stream:
+        self.traffic.connections += 1
+        return _CountedStream(super().connect(address), self.traffic)
+
+
+class MeasuredClient(Client):
+    """Tells how long each request took that was answered."""
+
+    def __init__(
+        self, runtime: Loop, address: Address, took: Callable[[float], None], most: int = 1
+    ) -> None:
+        super().__init__(runtime, address, most)
+        self._clock, self._took = runtime.now, took
+
+    def request(self, method: str, path: str, body: Any, timeout: float, done: Done) -> None:
+        began = self._clock()
+
+        def told(reply: Reply) -> None:
+            if reply.status:
+                self._took(self._clock() - began)
+            done(reply)
+
+        super().request(method, path, body, timeout, told)
--- /dev/null
+++ b/flaxtally/emulator/messages.py
@@ -0,0 +1,166 @@
+"""What the processes of an emulated deployment tell each other: typed, as cbor2 frames over TCP."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from .. import wire
+from ..loop import Stream
+from ..peers import Frames, encode
+
+log = logging.getLogger(__name__)
+
+
+class Event(msgspec.Struct, array_like=True):
+    """Something that the rules look at. `at` is the machine's steady clock, in seconds."""
+
+    at: float
+    kind: str
+    subject: str
+    """A task or a job."""
+    machine: str = ""
+    attempt: int = 0
+    asked_at: float = 0.0
+    status: int = 0
+    stage: str = ""
+    body_ref: str = ""
+    """The job that an answer speaks of."""
+
+
+STARTED, ENDED, SUBMITTED, CANCEL_ASKED = "started", "ended", "submitted", "cancel_asked"
+ANSWERED_SUBMIT, ANSWERED_POLL, ANSWERED_CANCEL = "submit", "poll", "cancel"
+ANSWERS = (ANSWERED_SUBMIT, ANSWERED_POLL, ANSWERED_CANCEL)
+
+
+class Hello(msgspec.Struct, tag_field="k", tag="hello"):
+    """A part says who it is, once it can serve."""
+
+    role: str
+    number: int
+
+
+class Begin(msgspec.Struct, tag_field="k", tag="begin"):
+    """The load begins."""
+
+
+class Arrivals(msgspec.Struct, tag_field="k", tag="arrivals"):
+    """Whether users submit new jobs."""
+
+    on: bool
+
+
+class Events(msgspec.Struct, tag_field="k", tag="events"):
+    """A piece of the history, in the order of one part."""
+
+    events: list[Event]
+
+
+class Samples(msgspec.Struct, tag_field="k", tag="samples"):
+    """Measured delays in seconds, by what was measured."""
+
+    name: str
+    values: list[float]
+
+
+class Counters(msgspec.Struct, tag_field="k", tag="counters"):
+    """Totals since the part began."""
+
+    role: str
+    number: int
+    at: float
+    totals: dict[str, float]
+
+
+class LoopLate(msgspec.Struct, tag_field="k", tag="loop_late"):
+    """A part of the emulator itself is behind: its figures aren't the controllers'."""
+
+    role: str
+    number: int
+    late: float
+
+
+class MachineUp(msgspec.Struct, tag_field="k", tag="machine_up"):
+    """The cloud started a machine."""
+
+    machine: wire.Listed
+
+
+class TakeMachines(msgspec.Struct, tag_field="k", tag="take_machines"):
+    """The cloud takes machines; nothing may run on them once this is answered."""
+
+    request: int
+    machines: list[str]
+
+
+class MachinesTaken(msgspec.Struct, tag_field="k", tag="machines_taken"):
+    """The answer to `TakeMachines`."""
+
+    request: int
+
+
+class RestartWorkers(msgspec.Struct, tag_field="k", tag="restart_workers"):
+    """A share of the workers loses its tasks and begins a new session, all at once."""
+
+    share: float
+
+
+class SilenceZone(msgspec.Struct, tag_field="k", tag="silence_zone"):
+    """A zone's workers neither send nor hear anything for a while."""
+
+    zone: str
+    seconds: float
+
+
+Message = (
+    Hello
+    | Begin
+    | Arrivals
+    | Events
+    | Samples
+    | Counters
+    | LoopLate
+    | MachineUp
+    | TakeMachines
+    | MachinesTaken
+    | RestartWorkers
+    | SilenceZone
+)
+
+
+class Channel:
+    """Messages over a stream, both ways. A malformed one is one log line."""
+
+    def __init__(
+        self,
+        stream: Stream,
+        receive: Callable[[Channel, Any], None],
+        closed: Callable[[Channel], None],
+    ) -> None:
+        self._stream, self._receive, self._frames = stream, receive, Frames()
+        self.role, self.number = "", 0
+        stream.on_data = self._data
+        stream.on_close = lambda: closed(self)
+
+    def send(self, message: Message) -> None:
+        self._stream.send(encode(msgspec.to_builtins(message)))
+
+    def _data(self, data: bytes) -> None:
+        try:
+            frames = self._frames.feed(data)
+        except ValueError as fault:
+            log.error("event=malformed_stream part=%s-%d why=%s", self.role, self.number, fault)
+            self._stream.close()
+            return
+        for frame in frames:
+            try:
+                message = msgspec.convert(frame, Message)
+            except msgspec.ValidationError as fault:
+                log.error(
+                    "event=malformed_message part=%s-%d why=%s", self.role, self.number, fault
+                )
+                continue
+            self._receive(self, message)
--- /dev/null
+++ b/flaxtally/emulator/plan.py
@@ -0,0 +1,174 @@
+"""What one size of an emulated deployment consists of, computed from its options alone.
+
+Every process of a run reads the same plan, so that all agree on machines, addresses, teams and jobs
+without telling each other.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+
+import msgspec
+
+from .. import wire
+from ..loop import Address
+from ..settings import Team
+
+HOST = "127.0.0.1"
+FIRST_WORKER_HOST = int(ipaddress.IPv4Address("127.1.0.1"))
+"""Hollow workers listen on loopback addresses from this one on, one each."""
+MOST_HOSTS = 60_000
+CONTROLLER = "controller"
+GPU_TYPE, CPU_TYPE = "g8", "c64"
+GPU_EVERY = 5
+"""One machine in so many has GPUs: 8 of them, so 1.6 a machine (31,000 GPUs on 20,000 workers)."""
+CPU_CORES, GPU_CORES, GPUS = 64.0, 96.0, 8.0
+CORES_PER_TASK, RAM_PER_TASK = 6.0, 8.0
+WORKERS_PER_TEAM = 27
+"""20,000 workers have 750 teams."""
+FEWEST_TEAMS = 4
+LIMIT_RATIO, GUARANTEE_RATIO = 2.0, 0.8
+"""A team's limit and guarantee, by its mean share of the fleet."""
+SOCKETS_PER_WORKER, FEWEST_SOCKETS = 4, 700
+URGENT_LANE, SERVICE_LANE, BATCH_LANE = "gate", "serve", "batch"
+URGENT_WITHIN_S, URGENT_SHARE = 3.6, 0.95
+
+STATE_PORT, CLOUD_PORT, CONTROL_PORT, WORKER_PORT, FIRST_NODE_PORT = 0, 1, 2, 3, 4
+"""Offsets from the first port; each controller takes two from the last of these on."""
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """One size of a scale run. Durations are in seconds, rates a second."""
+
+    workers: int
+    seconds: float = 30.0
+    warm_up: float = 60.0
+    seed: int = 1
+    port: int = 23000
+    controllers: int = 3
+    zones: int = 3
+    workers_per_process: int = 1000
+    state_rps: float = 500.0
+    state_write_rps: float = 50.0
+    value_kb: float = 8.0
+    txn_ops: int = 32
+    cloud_rps: float = 5.0
+    report_s: float = 2.0
+    lease_s: float = 12.0
+    cancel_s: float = 30.0
+    tasks_per_worker: float = 9.5
+    """190,000 tasks on 20,000 workers."""
+    starts_per_worker: float = 0.38
+    """7,600 starts a second on 20,000 workers."""
+    service_share: float = 0.6
+    """Of the running tasks; the others are batch tasks."""
+    array_tasks: int = 100
+    """Mean tasks of a batch job."""
+    break_rule: bool = False
+    """Has a worker start a task that is on another one."""
+
+    @property
+    def zone_names(self) -> list[str]:
+        return [f"zone-{number}" for number in range(self.zones)]
+
+    @property
+    def nodes(self) -> list[str]:
+        return [f"{CONTROLLER}-{number}" for number in range(self.controllers)]
+
+    @property
+    def worker_processes(self) -> int:
+        return -(-self.workers // self.workers_per_process)
+
+    @property
+    def sockets(self) -> int:
+        """What a controller may use: all workers at one of them, twice."""
+        return max(FEWEST_SOCKETS, SOCKETS_PER_WORKER * self.workers)
+
+    @property
+    def state(self) -> Address:
+        return HOST, self.port + STATE_PORT
+
+    @property
+    def cloud(self) -> Address:
+        return HOST, self.port + CLOUD_PORT
+
+    @property
+    def control(self) -> Address:
+        return HOST, self.port + CONTROL_PORT
+
+    def users_address(self, number: int) -> Address:
+        """Where a controller listens to users and workers; its peers are one port higher."""
+        return HOST, self.port + FIRST_NODE_PORT + 2 * number
+
+    @property
+    def node_addresses(self) -> dict[str, Address]:
+        return {name: self.users_address(number) for number, name in enumerate(self.nodes)}
+
+    @property
+    def ports(self) -> list[int]:
+        """All ports on the first loopback address."""
+        nodes = range(FIRST_NODE_PORT, FIRST_NODE_PORT + 2 * self.controllers)
+        return [self.port + offset for offset in (STATE_PORT, CLOUD_PORT, CONTROL_PORT, *nodes)]
+
+    def worker_address(self, number: int) -> Address:
+        """The machine's own loopback address: hosts are never used again within a run."""
+        host = ipaddress.IPv4Address(FIRST_WORKER_HOST + number % MOST_HOSTS)
+        return str(host), self.port + WORKER_PORT
+
+    @property
+    def types(self) -> list[wire.MachineType]:
+        zones = self.zone_names
+        return [
+            wire.MachineType(CPU_TYPE, CPU_CORES, 0.0, 256.0, 80.0, 1.0, 1.0, 0.4, 10.0, zones),
+            wire.MachineType(GPU_TYPE, GPU_CORES, GPUS, 768.0, 400.0, 4.0, 12.0, 4.5, 15.0, zones),
+        ]
+
+    @property
+    def machines(self) -> list[wire.Listed]:
+        """The fleet at the start. Zones and types are spread evenly."""
+        zones = self.zone_names
+        found = []
+        for number in range(self.workers):
+            kind = GPU_TYPE if number % GPU_EVERY == 0 else CPU_TYPE
+            zone = zones[number % self.zones]
+            host, port = self.worker_address(number)
+            name = f"n-{number:06d}"
+            found.append(wire.Listed(name, kind, zone, False, "running", 0.0, f"{host}:{port}"))
+        return found
+
+    @property
+    def capacity(self) -> dict[tuple[str, str, bool], int]:
+        """What the cloud has, by type, zone and spot: the fleet at the start and no more."""
+        pools: dict[tuple[str, str, bool], int] = {}
+        for machine in self.machines:
+            pool = machine.type, machine.zone, machine.spot
+            pools[pool] = pools.get(pool, 0) + 1
+        return pools
+
+    @property
+    def teams(self) -> list[Team]:
+        count = max(FEWEST_TEAMS, self.workers // WORKERS_PER_TEAM)
+        gpu_machines = -(-self.workers // GPU_EVERY)
+        cores = (self.workers - gpu_machines) * CPU_CORES + gpu_machines * GPU_CORES
+        gpus = gpu_machines * GPUS
+
+        def amounts(whole: float) -> tuple[float, float]:
+            mean = whole / count
+            return round(GUARANTEE_RATIO * mean, 1), round(LIMIT_RATIO * mean, 1)
+
+        return [Team(f"team-{number}", *amounts(cores), *amounts(gpus)) for number in range(count)]
+
+    def process_of(self, machine: str) -> int:
+        """Which of the workers' processes plays the machine."""
+        return int(machine.removeprefix("n-")) % self.worker_processes
+
+
+def save(plan: Plan, path: Path) -> None:
+    """Writes the plan for the processes of a run."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(plan)) + b"\n")
+
+
+def load(path: Path) -> Plan:
+    """Reads what `save` wrote."""
+    return msgspec.json.decode(path.read_bytes(), type=Plan)
--- /dev/null
+++ b/flaxtally/emulator/processes.py
@@ -0,0 +1,117 @@
+"""The processes of a run: started, sampled, and ended whatever happens."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+import psutil
+
+SOURCES = Path(__file__).resolve().parent.parent.parent
+END_PATIENCE_S = 5.0
+
+
+class Usage(NamedTuple):
+    """What a process used until `at`, a time of the steady clock in seconds."""
+
+    at: float
+    processor_s: float
+    memory_bytes: int
+    files: int
+
+
+class ProcessEnded(Exception):
+    """A process ended that should run; the text says which, how, and where its log is."""
+
+
+class Managed:
+    """A process that belongs to the run, and what it used over time."""
+
+    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
+        self.name, self.log, self.usages = name, log, list[Usage]()
+        self._arguments = arguments
+        self._process: subprocess.Popen[bytes] | None = None
+        self._watched: psutil.Process | None = None
+        self._before = 0.0
+        """Processor time of earlier lives."""
+
+    def start(self) -> None:
+        paths = [str(SOURCES), *filter(None, [os.environ.get("PYTHONPATH")])]
+        environment = os.environ | {"PYTHONPATH": os.pathsep.join(paths), "LOG_LEVEL": "info"}
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *self._arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self._watched = psutil.Process(self._process.pid)
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    def check(self) -> None:
+        """Raises `ProcessEnded` if it should run and doesn't."""
+        if self._process is not None and self._process.poll() is not None:
+            raise ProcessEnded(
+                f"{self.name} ended with status {self._process.returncode}: see {self.log}"
+            )
+
+    def kill(self) -> None:
+        """Ends it without a signal that it could see, as a failing machine does."""
+        if self._process is None:
+            return
+        if self.usages:
+            self._before = self.usages[-1].processor_s
+        self._process.kill()
+        self._process.wait(END_PATIENCE_S)
+        self._process = self._watched = None
+
+    def sample(self, now: float) -> None:
+        """Notes what it uses; a process that just ended is passed over."""
+        if self._watched is None:
+            return
+        try:
+            with self._watched.oneshot():
+                times = self._watched.cpu_times()
+                memory = self._watched.memory_info().rss
+                files = self._watched.num_fds()
+        except psutil.Error:
+            return
+        self.usages.append(Usage(now, self._before + times.user + times.system, memory, files))
+
+
+class Processes:
+    """Owns all processes of a run."""
+
+    def __init__(self) -> None:
+        self._all: dict[str, Managed] = {}
+
+    def start(self, name: str, arguments: list[str], log: Path) -> Managed:
+        process = self._all[name] = Managed(name, arguments, log)
+        process.start()
+        return process
+
+    def __getitem__(self, name: str) -> Managed:
+        return self._all[name]
+
+    def check(self) -> None:
+        """Raises `ProcessEnded` for the first that ended by itself."""
+        for process in self._all.values():
+            process.check()
+
+    def sample(self, now: float) -> None:
+        for process in self._all.values():
+            process.sample(now)
+
+    def names(self) -> list[str]:
+        return list(self._all)
+
+    def end_all(self) -> None:
+        for process in self._all.values():
+            process.kill()
--- /dev/null
+++ b/flaxtally/emulator/results.py
@@ -0,0 +1,254 @@
+"""From a recording to figures: delays, rates, processor time, memory, and what was saturated."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+import psutil
+from ddsketch import DDSketch
+
+from .coordinator import Phase, Recording
+from .history import BrokenRule
+from .messages import ANSWERED_POLL, ANSWERED_SUBMIT
+from .part import OUTSIDE, USERS, WORKERS
+from .plan import URGENT_LANE, URGENT_WITHIN_S, Plan
+from .processes import Processes
+from .users import SUBMISSION
+from .workers import REPORT_ANSWER
+
+ACCURACY = 0.01
+"""Relative error of a percentile."""
+REPORT_ANSWER_S, SUBMISSION_S, STARTED_SHARE = 4.0, 5.0, 0.9
+"""Aims: PROTOCOL's time limits of workers and users; of the tasks that are submitted."""
+FULL = 0.7
+"""A resource that is used more than this on average is named as saturated."""
+USAGE_WINDOW_S = 5.0
+
+
+class Percentiles(msgspec.Struct):
+    """Of delays, in seconds; relative error 1 %."""
+
+    count: int = 0
+    median: float = 0.0
+    p95: float = 0.0
+    p99: float = 0.0
+    largest: float = 0.0
+
+
+class ProcessUse(msgspec.Struct):
+    """What a process used in a phase."""
+
+    processor_mean: float
+    """Of a core."""
+    processor_peak: float
+    """The highest mean of some seconds."""
+    memory_mb: float
+    files: int
+
+
+class PhaseResult(msgspec.Struct):
+    """The figures of one phase. Rates are a second."""
+
+    name: str
+    seconds: float
+    workers: float
+    running_tasks: float
+    submitted_tasks: int
+    starts_per_s: float
+    start_delay: dict[str, Percentiles]
+    """By lane: from the first attempt to submit to the start of each task."""
+    submission: Percentiles
+    report_answer: Percentiles
+    reports_per_s: float
+    bytes_per_worker_s: float
+    """Both ways, of the reports alone, without what the system adds."""
+    state_requests_per_s: float
+    state_changes_per_s: float
+    state_limited_per_s: float
+    polls_per_s: float
+    polls_unanswered_per_s: float
+    longest_without_answer_s: float
+    """To submissions and polls."""
+    processes: dict[str, ProcessUse]
+    leader: str
+    machine_processor: float
+    """Of all the machine's cores."""
+
+
+class SizeResult(msgspec.Struct):
+    """One size of a scale run."""
+
+    plan: Plan
+    warm_up_s: float | None
+    phases: list[PhaseResult]
+    takeover_s: float | None
+    """From the leader's end to the first start of a task after another one led."""
+    ledger_pages: float
+    loop_behind_s: dict[str, float]
+    """The latest timer of each controller that logged one, in seconds."""
+    emulator_late_s: float
+    """The latest timer of the emulator's own parts."""
+    missed_aims: list[str]
+    saturated: str
+    rules_broken: list[list[str]]
+
+
+def percentiles(values: Iterable[float]) -> Percentiles:
+    """By a histogram with a bounded relative error."""
+    sketch = DDSketch(ACCURACY)
+    largest = 0.0
+    for value in values:
+        sketch.add(value)
+        largest = max(largest, value)
+    if not sketch.count:
+        return Percentiles()
+
+    def at(share: float) -> float:
+        found = sketch.get_quantile_value(share)
+        return round(found or 0.0, 4)
+
+    return Percentiles(int(sketch.count), at(0.5), at(0.95), at(0.99), round(largest, 4))
+
+
+class Analysis:
+    """Reads a recording."""
+
+    def __init__(self, plan: Plan, recording: Recording, processes: Processes) -> None:
+        self._plan, self._recording, self._processes = plan, recording, processes
+
+    def result(self, broken: list[BrokenRule], loop_behind: dict[str, float]) -> SizeResult:
+        """The figures of the whole run."""
+        recording = self._recording
+        phases = [self._phase(phase) for phase in recording.phases]
+        missed = self._missed(phases[0]) if phases else ["the steady phase was not reached"]
+        pages = recording.counters.get(f"{OUTSIDE}-0", [])
+        return SizeResult(
+            plan=self._plan,
+            warm_up_s=recording.warm_up_s,
+            phases=phases,
+            takeover_s=self._takeover(),
+            ledger_pages=pages[-1].totals["ledger_pages"] if pages else 0.0,
+            loop_behind_s=loop_behind,
+            emulator_late_s=max((late.seconds for late in recording.late), default=0.0),
+            missed_aims=missed,
+            saturated=self._saturated(phases[0]) if missed and phases else "nothing",
+            rules_broken=[rule.lines() for rule in broken],
+        )
+
+    def _takeover(self) -> float | None:
+        ended, led = self._recording.leader_ended_at, self._recording.taken_over_at
+        if ended is None or led is None:
+            return None
+        started = self._recording.history.first_start_after(led)
+        return None if started is None else round(started - ended, 2)
+
+    # A phase
+
+    def _total(self, role: str, counter: str, at: float) -> float:
+        """What all parts of a role counted up to a time."""
+        whole = 0.0
+        for name, counters in self._recording.counters.items():
+            if name.startswith(role):
+                before = [entry for entry in counters if entry.at <= at]
+                whole += before[-1].totals[counter] if before else 0.0
+        return whole
+
+    def _rate(self, role: str, counter: str, phase: Phase) -> float:
+        grown = self._total(role, counter, phase.ends) - self._total(role, counter, phase.begins)
+        return round(grown / (phase.ends - phase.begins), 3)
+
+    def _sampled(self, name: str, phase: Phase) -> Percentiles:
+        pieces = self._recording.samples.get(name, [])
+        inside = (values for at, values in pieces if phase.begins <= at < phase.ends)
+        return percentiles(value for values in inside for value in values)
+
+    def _phase(self, phase: Phase) -> PhaseResult:
+        history, length = self._recording.history, phase.ends - phase.begins
+        delays = history.start_delays(phase.begins, phase.ends)
+        workers = self._total(WORKERS, "workers", phase.ends)
+        moved = self._rate(WORKERS, "bytes_sent", phase)
+        moved += self._rate(WORKERS, "bytes_received", phase)
+        uses = {name: self._use(name, phase) for name in self._processes.names()}
+        cores = sum(use.processor_mean for use in uses.values() if use is not None)
+        return PhaseResult(
+            name=phase.name,
+            seconds=round(length, 1),
+            workers=workers,
+            running_tasks=self._total(WORKERS, "running", phase.ends),
+            submitted_tasks=history.submitted_tasks(phase.begins, phase.ends),
+            starts_per_s=round(history.starts(phase.begins, phase.ends) / length, 2),
+            start_delay={lane: percentiles(values) for lane, values in delays.items()},
+            submission=self._sampled(SUBMISSION, phase),
+            report_answer=self._sampled(REPORT_ANSWER, phase),
+            reports_per_s=self._rate(WORKERS, "reports", phase),
+            bytes_per_worker_s=round(moved / max(1.0, workers), 1),
+            state_requests_per_s=self._rate(OUTSIDE, "state_requests", phase),
+            state_changes_per_s=self._rate(OUTSIDE, "state_changes", phase),
+            state_limited_per_s=self._rate(OUTSIDE, "state_limited", phase),
+            polls_per_s=self._rate(USERS, "asked", phase),
+            polls_unanswered_per_s=self._rate(USERS, "polls_unanswered", phase),
+            longest_without_answer_s=round(
+                history.longest_without((ANSWERED_SUBMIT, ANSWERED_POLL), phase.begins, phase.ends),
+                2,
+            ),
+            processes={name: use for name, use in uses.items() if use is not None},
+            leader=self._recording.leaders.get(phase.name, ""),
+            machine_processor=round(cores / (psutil.cpu_count() or 1), 3),
+        )
+
+    def _use(self, name: str, phase: Phase) -> ProcessUse | None:
+        usages = [
+            usage
+            for usage in self._processes[name].usages
+            if phase.begins <= usage.at <= phase.ends
+        ]
+        if len(usages) < 2:
+            return None
+        shares = []
+        for first in usages:
+            later = [usage for usage in usages if usage.at - first.at >= USAGE_WINDOW_S]
+            if later:
+                used = later[0].processor_s - first.processor_s
+                shares.append(used / (later[0].at - first.at))
+        mean = (usages[-1].processor_s - usages[0].processor_s) / (usages[-1].at - usages[0].at)
+        memory = max(usage.memory_bytes for usage in usages) / 2**20
+        return ProcessUse(
+            round(mean, 4),
+            round(max([*shares, mean]), 4),
+            round(memory, 1),
+            max(usage.files for usage in usages),
+        )
+
+    # What was missed, and why
+
+    def _missed(self, phase: PhaseResult) -> list[str]:
+        missed = []
+        if self._recording.warm_up_s is None:
+            missed.append(f"standing replicas ran not within {self._plan.warm_up:g} s")
+        urgent = phase.start_delay.get(URGENT_LANE, Percentiles())
+        if urgent.p95 > URGENT_WITHIN_S:
+            missed.append(f"urgent starts: p95 {urgent.p95:.1f} s, aim {URGENT_WITHIN_S:g} s")
+        if phase.report_answer.p99 > REPORT_ANSWER_S:
+            missed.append(f"report answers: p99 {phase.report_answer.p99:.1f} s")
+        if phase.submission.p99 > SUBMISSION_S:
+            missed.append(f"submissions: p99 {phase.submission.p99:.1f} s")
+        wanted = phase.submitted_tasks / phase.seconds
+        if phase.starts_per_s < STARTED_SHARE * wanted:
+            missed.append(f"starts: {phase.starts_per_s:.0f} of {wanted:.0f} a second")
+        return missed
+
+    def _saturated(self, phase: PhaseResult) -> str:
+        """The resource that was used most, if any was nearly used up."""
+        used = {
+            "state service, changes": phase.state_changes_per_s / self._plan.state_write_rps,
+            "state service, requests": phase.state_requests_per_s / self._plan.state_rps,
+            "all cores of this machine": phase.machine_processor,
+        }
+        for name, use in phase.processes.items():
+            role = "leader" if name == phase.leader else name
+            used[f"processor of {role}"] = use.processor_mean
+        name = max(used, key=lambda resource: used[resource])
+        if used[name] >= FULL:
+            return f"{name} ({used[name]:.0%})"
+        return f"none measured is full; most used: {name} ({used[name]:.0%})"
--- /dev/null
+++ b/flaxtally/emulator/scale.py
@@ -0,0 +1,177 @@
+"""`emulate scale`: plays one size after the other and says what was saturated first."""
+
+from __future__ import annotations
+
+import re
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from ..loop import Loop
+from . import limits
+from .coordinator import Coordinator
+from .fit import FEWEST_SIZES, Fit, fit, table
+from .plan import BATCH_LANE, CONTROLLER, URGENT_LANE, Plan
+from .results import Analysis, Percentiles, PhaseResult, ProcessUse, SizeResult
+
+LATE = re.compile(r"event=loop_behind .*late=([0-9.]+)")
+TARGET_WORKERS = 20_000
+"""The size that the operators expect."""
+
+
+class ScaleResult(msgspec.Struct):
+    """What a scale run found."""
+
+    sizes: list[SizeResult]
+    fits: list[Fit]
+
+    @property
+    def rules_broken(self) -> bool:
+        return any(size.rules_broken for size in self.sizes)
+
+
+def progress(text: str) -> None:
+    """A line for whoever watches."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def run(plans: Sequence[Plan], folder: Path) -> ScaleResult:
+    """Plays all plans; all limits are checked before the first begins.
+
+    Raises `limits.LimitError` or `processes.ProcessEnded`. A broken rule ends the run.
+    """
+    for plan in plans:
+        limits.check(plan)
+    result = ScaleResult([], [])
+    for plan in plans:
+        result.sizes.append(play(plan, folder / f"workers-{plan.workers}"))
+        result.fits = fits(result.sizes)
+        save(result, folder / "results.json")
+        if result.rules_broken:
+            break
+    return result
+
+
+def save(result: ScaleResult, path: Path) -> None:
+    """Writes the results as JSON."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(result)) + b"\n")
+
+
+def play(plan: Plan, folder: Path) -> SizeResult:
+    """One size, from the start of its processes to their end."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for old in folder.glob("*.log"):
+        old.unlink()
+    coordinator = Coordinator(Loop(), plan, folder, progress)
+    recording = coordinator.run()
+    progress(f"{plan.workers} workers: {len(recording.history.events)} events are checked")
+    broken = recording.history.check()
+    analysis = Analysis(plan, recording, coordinator.processes)
+    return analysis.result(broken, loop_behind(plan, folder))
+
+
+def loop_behind(plan: Plan, folder: Path) -> dict[str, float]:
+    """How late timers were, in seconds, for each controller that logged it."""
+    found: dict[str, float] = {}
+    for name in plan.nodes:
+        text = (folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
+        late = [float(match.group(1)) for match in LATE.finditer(text)]
+        if late:
+            found[name] = max(late)
+    return found
+
+
+def _followers(phase: PhaseResult, figure: Callable[[ProcessUse], float]) -> float:
+    """The mean over the controllers that don't lead."""
+    uses = [
+        use
+        for name, use in phase.processes.items()
+        if name.startswith(CONTROLLER) and name != phase.leader
+    ]
+    return sum(figure(use) for use in uses) / max(1, len(uses))
+
+
+def _leader(phase: PhaseResult, figure: Callable[[ProcessUse], float]) -> float:
+    use = phase.processes.get(phase.leader)
+    return 0.0 if use is None else figure(use)
+
+
+FIGURES: dict[str, Callable[[PhaseResult], float]] = {
+    "leader, processor (cores)": lambda phase: _leader(phase, lambda use: use.processor_mean),
+    "leader, processor peak (cores)": lambda phase: _leader(phase, lambda use: use.processor_peak),
+    "leader, memory (MB)": lambda phase: _leader(phase, lambda use: use.memory_mb),
+    "follower, processor (cores)": lambda phase: _followers(phase, lambda use: use.processor_mean),
+    "follower, memory (MB)": lambda phase: _followers(phase, lambda use: use.memory_mb),
+    "reports a second": lambda phase: phase.reports_per_s,
+    "bytes a worker and second": lambda phase: phase.bytes_per_worker_s,
+    "state service, changes a second": lambda phase: phase.state_changes_per_s,
+    "state service, requests a second": lambda phase: phase.state_requests_per_s,
+    "questions of users a second": lambda phase: phase.polls_per_s,
+    "starts a second": lambda phase: phase.starts_per_s,
+    "running tasks": lambda phase: phase.running_tasks,
+}
+"""What is fitted over the sizes, of the steady phase."""
+
+
+def fits(sizes: Sequence[SizeResult]) -> list[Fit]:
+    """Lines through the steady phases' figures, once there are enough sizes."""
+    steady = [size.phases[0] for size in sizes if size.phases]
+    if len(steady) < FEWEST_SIZES:
+        return []
+    workers = [phase.workers for phase in steady]
+    return [
+        fit(name, workers, [figure(phase) for phase in steady], TARGET_WORKERS)
+        for name, figure in FIGURES.items()
+    ]
+
+
+def _delay(phase: PhaseResult, lane: str) -> str:
+    delay = phase.start_delay.get(lane, Percentiles())
+    return f"{delay.median:.2f}/{delay.p95:.2f}" if delay.count else "-"
+
+
+def report(result: ScaleResult) -> list[str]:
+    """The results as lines for people."""
+    lines = [
+        f"{'workers':>7} {'phase':10} {'tasks':>6} {'starts/s':>8} {'asked/s':>8} "
+        f"{'urgent p50/p95':>14} {'batch p50/p95':>14} {'report p99':>10} {'submit p99':>10} "
+        f"{'changes/s':>9} {'leader cpu':>10} {'peak':>5} {'MB':>5} {'B/worker/s':>10}"
+    ]
+    for size in result.sizes:
+        for phase in size.phases:
+            lines.append(
+                f"{phase.workers:7.0f} {phase.name:10} {phase.running_tasks:6.0f} "
+                f"{phase.starts_per_s:8.1f} {phase.submitted_tasks / phase.seconds:8.1f} "
+                f"{_delay(phase, URGENT_LANE):>14} {_delay(phase, BATCH_LANE):>14} "
+                f"{phase.report_answer.p99:10.3f} {phase.submission.p99:10.3f} "
+                f"{phase.state_changes_per_s:9.1f} "
+                f"{_leader(phase, lambda use: use.processor_mean):10.2f} "
+                f"{_leader(phase, lambda use: use.processor_peak):5.2f} "
+                f"{_leader(phase, lambda use: use.memory_mb):5.0f} "
+                f"{phase.bytes_per_worker_s:10.0f}"
+            )
+        lines += _remarks(size)
+    if result.fits:
+        lines += ["", "lines through the steady phases (not the bench's figures):"]
+        lines += table(result.fits)
+    return lines
+
+
+def _remarks(size: SizeResult) -> list[str]:
+    """What a size shows besides its figures."""
+    warm = "not reached" if size.warm_up_s is None else f"{size.warm_up_s:.0f} s"
+    taken = "not seen" if size.takeover_s is None else f"{size.takeover_s:.1f} s"
+    lines = [f"        warm-up {warm}; first start after the leader's end {taken}"]
+    if size.missed_aims:
+        lines.append(f"        missed: {'; '.join(size.missed_aims)}")
+        lines.append(f"        saturated: {size.saturated}")
+    if size.loop_behind_s:
+        behind = ", ".join(f"{name} {late:.2f} s" for name, late in size.loop_behind_s.items())
+        lines.append(f"        timers late: {behind}")
+    if size.emulator_late_s:
+        lines.append(f"        the emulator itself was late by {size.emulator_late_s:.2f} s")
+    for rule in size.rules_broken:
+        lines += [f"        RULE BROKEN: {rule[0]}", *(f"        {line}" for line in rule[1:])]
+    return lines
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,414 @@
+"""The emulator's parts: load, hollow workers, history, limits, fits, messages."""
+
+from __future__ import annotations
+
+import logging
+import random
+import socket
+from itertools import pairwise
+
+import msgspec
+import pytest
+
+from flaxtally import wire
+from flaxtally.cloud import Bucket
+from flaxtally.emulator import limits
+from flaxtally.emulator.fit import fit
+from flaxtally.emulator.history import History
+from flaxtally.emulator.hollow_worker import REPORT_GAP_S, HollowWorker
+from flaxtally.emulator.load import Load, reference
+from flaxtally.emulator.messages import (
+    ANSWERED_POLL,
+    ANSWERED_SUBMIT,
+    ENDED,
+    STARTED,
+    SUBMITTED,
+    Channel,
+    Event,
+    Message,
+    TakeMachines,
+)
+from flaxtally.emulator.node_settings import settings_page
+from flaxtally.emulator.outside import RemoteCloud
+from flaxtally.emulator.plan import CPU_TYPE, HOST, URGENT_LANE, Plan
+from flaxtally.emulator.results import percentiles
+from flaxtally.http import Client, Reply, Request, Server
+from flaxtally.peers import encode
+from flaxtally.settings import parse
+from flaxtally.standin.state import StateService
+
+from .sim import Host, Sim
+from .test_sockets import play
+
+PLAN = Plan(workers=60, seed=3)
+
+
+# The load
+
+
+def test_the_same_seed_draws_the_same_load_and_another_seed_another() -> None:
+    numbers = range(1, 200)
+    first = [Load(PLAN).job(number) for number in numbers]
+    assert first == [Load(PLAN).job(number) for number in reversed(numbers)][::-1]
+    other = msgspec.structs.replace(PLAN, seed=4)
+    assert first != [Load(other).job(number) for number in numbers]
+
+
+def test_the_load_has_the_expected_fleets_ratios() -> None:
+    plan = Plan(workers=2000)
+    load = Load(plan)
+    replicas = load.service_replicas / plan.workers
+    assert replicas == pytest.approx(9.5 * 0.6, rel=0.05)
+    until = 400.0
+    tasks, busy = 0, 0.0
+    for at, number in load.arrivals():
+        if at > until:
+            break
+        job = load.job(number)
+        tasks += job.spec.tasks
+        busy += job.spec.tasks * (job.run_s or 0.0)
+    assert tasks / until / plan.workers == pytest.approx(0.38, rel=0.1)
+    assert busy / until / plan.workers == pytest.approx(9.5 * 0.4, rel=0.1)
+
+
+def test_the_settings_page_is_one_that_a_controller_takes() -> None:
+    import tomllib
+
+    settings = parse(tomllib.loads(settings_page(PLAN, 1)))
+    assert settings.node == "controller-1"
+    assert set(settings.peers) == {"controller-0", "controller-2"}
+    assert settings.listen == PLAN.users_address(1)
+    assert list(settings.teams.values()) == PLAN.teams
+    assert [(aim.lane, aim.within) for aim in settings.objectives] == [(URGENT_LANE, 3.6)]
+
+
+# Hollow workers
+
+
+class Controller:
+    """Answers a worker's reports with the token, and notes when they came."""
+
+    def __init__(self, sim: Sim, plan: Plan) -> None:
+        self._sim = sim
+        self.reports: list[tuple[float, wire.Report]] = []
+        self.orders: list[dict[str, object]] = []
+        host = sim.host(HOST)
+        for where in plan.node_addresses.values():
+            Server(host, where, self._answer, 100, 100.0, 0.2)
+
+    def _answer(self, request: Request) -> None:
+        report = msgspec.msgpack.decode(request.body, type=wire.Report)
+        self.reports.append((self._sim.time, report))
+        orders, self.orders = self.orders, []
+        request.reply(200, {"baton": 1, "orders": orders})
+
+
+def hollow(sim: Sim, events: list[str], number: int = 0) -> HollowWorker:
+    plan, machine = PLAN, PLAN.machines[number]
+    return HollowWorker(
+        sim.host("127.1.0.1"),
+        plan,
+        Load(plan),
+        machine,
+        plan.worker_address(number),
+        lambda event, _, task, attempt: events.append(f"{event} {task} {attempt}"),
+        lambda _: None,
+        random.Random(1),
+    )
+
+
+def gaps(controller: Controller) -> list[float]:
+    times = [at for at, _ in controller.reports]
+    return [later - earlier for earlier, later in pairwise(times)]
+
+
+def test_a_change_is_reported_at_once_but_not_more_often_than_the_protocol_says() -> None:
+    sim, events = Sim(1), list[str]()
+    controller = Controller(sim, PLAN)
+    worker = hollow(sim, events)
+    play(sim, 10.0)
+    assert all(0.7 * PLAN.report_s < gap < 1.3 * PLAN.report_s for gap in gaps(controller)[1:])
+    before = len(controller.reports)
+    for number in range(60):
+        sim.at(sim.time + number * 0.05, worker.changed)
+    began = sim.time
+    play(sim, 3.0)
+    changes = controller.reports[before:]
+    assert changes[0][0] - began < REPORT_GAP_S + 0.1
+    # Changes that follow each other fast don't put the report off: one comes every half second.
+    assert len(changes) >= 5
+    assert min(gaps(controller)) > REPORT_GAP_S - 0.05
+
+
+def test_a_silent_worker_loses_its_tasks_with_its_lease_and_begins_a_new_session() -> None:
+    sim, events = Sim(1), list[str]()
+    controller = Controller(sim, PLAN)
+    worker = hollow(sim, events)
+    task = f"{reference(1)}/0"
+    controller.orders = [wire.launch(task, 1)]
+    play(sim, 10.0)
+    assert events == [f"start {task} 1"]
+    worker.silence(1.5 * PLAN.lease_s)
+    play(sim, 1.4 * PLAN.lease_s)
+    assert events == [f"start {task} 1", f"end lapsed {task} 1"]
+    play(sim, PLAN.lease_s)
+    assert controller.reports[-1][1].session == 2
+    assert controller.reports[-1][1].tasks == []
+
+
+def test_a_worker_that_restarts_reports_a_new_session_without_tasks() -> None:
+    sim, events = Sim(1), list[str]()
+    controller = Controller(sim, PLAN)
+    worker = hollow(sim, events)
+    controller.orders = [wire.launch(f"{reference(1)}/0", 1)]
+    play(sim, 10.0)
+    worker.restart()
+    play(sim, 1.0)
+    report = controller.reports[-1][1]
+    assert (report.session, report.tasks) == (2, [])
+
+
+def test_an_image_is_fetched_once_for_all_tasks_that_wait_for_it() -> None:
+    sim, events = Sim(1), list[str]()
+    controller = Controller(sim, PLAN)
+    worker = hollow(sim, events, number=1)
+    assert worker.machine.type == CPU_TYPE
+    spec = Load(PLAN).job(1).spec
+    controller.orders = [wire.launch(f"{spec.ref}/{task}", 1) for task in range(2)]
+    while controller.orders:
+        play(sim, 0.02)
+    usual = spec.image_gb / PLAN.types[0].fetch_rate
+    play(sim, usual * 0.6)
+    assert events == [], "a task started before its image was there"
+    play(sim, usual)
+    assert len(events) == 2
+
+
+# Stand-ins with the deployment's rates
+
+
+class Answers:
+    """A client that keeps the answers."""
+
+    def __init__(self, host: Host, where: tuple[str, int]) -> None:
+        self.client, self.statuses = Client(host, where, 50), list[int]()
+        self.bodies: list[bytes] = []
+
+    def ask(self, method: str, path: str, body: object = None) -> None:
+        self.client.request(method, path, body, 5.0, self._told)
+
+    def _told(self, reply: Reply) -> None:
+        self.statuses.append(reply.status)
+        self.bodies.append(reply.body)
+
+
+def test_the_state_service_refuses_changes_above_its_rate_and_allows_one_seconds_burst() -> None:
+    sim = Sim(1)
+    where = ("10.2.0.1", 2379)
+    host = sim.host(where[0])
+    service = StateService(host, where)
+    service.change_limit = Bucket(host, 10.0, 10.0)
+    user = Answers(sim.host("10.3.0.1"), where)
+    for number in range(15):
+        user.ask("POST", wire.TXN, wire.txn({}, {f"k/{number}": 1}, []))
+    play(sim, 1.0)
+    assert (user.statuses.count(200), user.statuses.count(429)) == (10, 5)
+    assert service.limited == 5
+    assert len(service.rows) == 10
+    play(sim, 1.0)
+    user.ask("POST", wire.TXN, wire.txn({}, {"k/late": 1}, []))
+    play(sim, 1.0)
+    assert user.statuses[-1] == 200
+
+
+class Told:
+    """Takes the place of the connection to the coordinator."""
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+
+    def send(self, message: Message) -> None:
+        self.messages.append(message)
+
+
+def test_a_release_is_answered_only_when_all_processes_say_that_the_machines_are_gone() -> None:
+    sim, told = Sim(1), Told()
+    plan = msgspec.structs.replace(PLAN, workers_per_process=30)
+    cloud = RemoteCloud(sim.host(HOST), plan, told)  # type: ignore[arg-type]
+    user = Answers(sim.host("10.3.0.1"), plan.cloud)
+    user.ask("POST", wire.RELEASE, wire.release(["n-000000", "n-000001"]))
+    play(sim, 1.0)
+    assert told.messages == [TakeMachines(1, ["n-000000", "n-000001"])]
+    cloud.taken(1)
+    play(sim, 1.0)
+    assert user.statuses == []
+    cloud.taken(1)
+    play(sim, 1.0)
+    assert user.statuses == [200]
+    assert len(cloud.machines) == 58
+
+
+def test_the_clouds_list_comes_in_pages() -> None:
+    sim = Sim(1)
+    plan = msgspec.structs.replace(PLAN, workers=700)
+    RemoteCloud(sim.host(HOST), plan, Told())  # type: ignore[arg-type]
+    user = Answers(sim.host("10.3.0.1"), plan.cloud)
+    user.ask("GET", wire.listing_path(None, 500))
+    user.ask("GET", wire.listing_path("n-000499", 500))
+    play(sim, 1.0)
+    first, second = (msgspec.msgpack.decode(body, type=wire.Listing) for body in user.bodies)
+    assert [len(first.machines), first.more] == [500, True]
+    assert [len(second.machines), second.more] == [200, False]
+
+
+# History
+
+
+def history(*events: Event) -> History:
+    found = History(PLAN)
+    found.add(reversed(events))
+    return found
+
+
+SERVICE = reference(1)
+
+
+def accepted(ref: str, at: float) -> tuple[Event, Event]:
+    answer = Event(
+        at + 0.1, ANSWERED_SUBMIT, ref, asked_at=at, status=201, stage="pending", body_ref=ref
+    )
+    return Event(at, SUBMITTED, ref), answer
+
+
+def test_a_history_without_faults_breaks_no_rule_whatever_the_order_in_which_it_came() -> None:
+    task = f"{SERVICE}/0"
+    found = history(
+        *accepted(SERVICE, 1.0),
+        Event(2.0, STARTED, task, "n-000000", 1),
+        Event(3.0, ENDED, task, "n-000000", 1, stage="lapsed"),
+        Event(4.0, STARTED, task, "n-000001", 2),
+    )
+    assert found.check() == []
+    assert found.start_delays(0.0, 2.0) == {"serve": [1.0]}
+    assert found.starts(1.5, 3.0) == 1
+
+
+def test_a_task_on_two_machines_is_found_with_the_events_that_show_it() -> None:
+    task = f"{SERVICE}/0"
+    found = history(
+        *accepted(SERVICE, 1.0),
+        Event(2.0, STARTED, task, "n-000000", 1),
+        Event(4.0, STARTED, task, "n-000001", 2),
+    )
+    broken = found.check()
+    assert len(broken) == 1
+    assert "ran_twice" in broken[0].text
+    shown = "\n".join(broken[0].lines())
+    assert "machine=n-000000 attempt=1" in shown
+    assert "machine=n-000001 attempt=2" in shown
+
+
+def test_an_answer_that_goes_back_and_a_run_without_starts_are_found() -> None:
+    gone = Event(3.0, ANSWERED_POLL, SERVICE, asked_at=2.9, status=404)
+    broken = history(*accepted(SERVICE, 1.0), gone).check()
+    assert [rule.text.split(":")[0].split()[-1] for rule in broken] == ["forgotten", "nothing_ran"]
+
+
+# Figures
+
+
+def test_a_fit_says_slope_residual_and_whether_growth_is_linear() -> None:
+    line = fit("x", [100, 200, 400, 800], [3.0, 5.0, 9.0, 17.0], 1600)
+    assert (line.at_zero, line.per_worker) == (pytest.approx(1.0), pytest.approx(0.02))
+    assert line.residual == pytest.approx(0.0, abs=1e-9)
+    assert (line.at_target, line.factor) == (pytest.approx(33.0), 2.0)
+    square = fit("x", [100, 200, 400, 800], [1.0, 4.0, 16.0, 64.0], 1600)
+    assert square.power == pytest.approx(2.0)
+    assert square.residual > 0.1
+    assert not square.linear
+
+
+def test_percentiles_are_within_one_percent() -> None:
+    values = [number / 1000 for number in range(1, 10_001)]
+    found = percentiles(values)
+    assert found.count == 10_000
+    assert found.median == pytest.approx(5.0, rel=0.011)
+    assert found.p99 == pytest.approx(9.9, rel=0.011)
+    assert found.largest == 10.0
+    assert percentiles([]).count == 0
+
+
+# Limits
+
+
+def test_too_few_open_files_are_named_with_the_option_that_lowers_the_need(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(limits.resource, "getrlimit", lambda _: (256, 256))
+    with pytest.raises(limits.LimitError, match=r"256 \(ulimit -n\).*--workers-per-process"):
+        limits.check(PLAN)
+
+
+def test_too_little_memory_is_named(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Memory:
+        total = available = 512 * 2**20
+
+    monkeypatch.setattr(limits.psutil, "virtual_memory", lambda: Memory)
+    with pytest.raises(limits.LimitError, match=r"MB are needed and 256 MB.*--workers"):
+        limits.check(PLAN)
+
+
+def test_too_many_processes_are_refused() -> None:
+    many = msgspec.structs.replace(PLAN, workers=400, workers_per_process=2)
+    with pytest.raises(limits.LimitError, match="206 processes"):
+        limits.check(many)
+
+
+def test_a_port_in_use_is_named() -> None:
+    with socket.socket() as taken:
+        taken.bind((HOST, 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        plan = msgspec.structs.replace(PLAN, port=min(port, 65_000))
+        with pytest.raises(limits.LimitError, match=rf"{HOST}:{port} can't be used.*--port"):
+            limits.check(plan)
+
+
+# Messages
+
+
+class Pipe:
+    """A stream whose far end is the test."""
+
+    def __init__(self) -> None:
+        self.far, self.closed = HOST, False
+        self.on_data = self.on_close = lambda *_: None
+
+    def send(self, _: bytes) -> None:
+        raise AssertionError("nothing is sent here")
+
+    def close(self) -> None:
+        self.closed = True
+
+
+@pytest.mark.parametrize(
+    "frame", [{"k": "no_such_kind"}, {"k": "arrivals"}, {"k": "events", "events": [[1, 2]]}]
+)
+def test_a_malformed_message_is_one_log_line_and_the_next_is_taken(
+    frame: dict[str, object], caplog: pytest.LogCaptureFixture
+) -> None:
+    pipe, received = Pipe(), list[Message]()
+    Channel(pipe, lambda _, message: received.append(message), lambda _: None)
+    with caplog.at_level(logging.ERROR):
+        pipe.on_data(encode(frame) + encode({"k": "begin"}))
+    assert len(caplog.records) == 1
+    assert len(received) == 1
+    assert not pipe.closed
+
+
+def test_nonsense_closes_the_connection(caplog: pytest.LogCaptureFixture) -> None:
+    pipe = Pipe()
+    Channel(pipe, lambda *_: None, lambda _: None)
+    pipe.on_data(b"\xff\xff\xff\xff nonsense")
+    assert pipe.closed
+    assert len(caplog.records) == 1
--- /dev/null
+++ b/tests/test_scale_run.py
@@ -0,0 +1,118 @@
+"""`emulate scale` at its smallest: real processes on loopback, for a few seconds."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import psutil
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+PORT = 24100
+SMALLEST = [
+    "--workers=12",
+    "--seconds=3",
+    "--warm-up=20",
+    "--lease-s=4",
+    "--report-s=0.8",
+    "--array-tasks=6",
+    "--workers-per-process=6",
+    "--starts-per-worker=0.3",
+]
+
+
+def command(folder: Path, *options: str) -> list[str]:
+    words = [sys.executable, "-m", "flaxtally", "emulate", "scale", f"--out={folder}"]
+    return [*words, f"--port={PORT}", *SMALLEST, *options]
+
+
+def run(folder: Path, *options: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        command(folder, *options), cwd=ROOT, capture_output=True, text=True, timeout=120
+    )
+
+
+def processes_of(folder: Path) -> list[psutil.Process]:
+    """All that were started for a run: each names its folder on its command line."""
+    found = []
+    for process in psutil.process_iter(["cmdline"]):
+        words = process.info["cmdline"] or []
+        if any(str(folder) in word for word in words) and process.pid != os.getpid():
+            found.append(process)
+    return found
+
+
+def test_the_smallest_run_breaks_no_rule_and_leaves_its_results(tmp_path: Path) -> None:
+    done = run(tmp_path)
+    assert done.returncode == 0, done.stdout + done.stderr
+    size = json.loads((tmp_path / "results.json").read_text())["sizes"][0]
+    assert size["rules_broken"] == []
+    steady, disturbed = size["phases"]
+    assert steady["workers"] == 12
+    assert steady["reports_per_s"] > 10
+    assert steady["running_tasks"] > 30
+    assert steady["processes"]["controller-0"]["memory_mb"] > 5
+    assert disturbed["starts_per_s"] > 0
+    # The leader was ended, and another one led.
+    assert disturbed["leader"] not in ("", steady["leader"])
+    assert "leads and is ended" in done.stderr
+    assert "workers" in done.stdout
+    assert processes_of(tmp_path) == []
+
+
+def test_a_task_that_is_started_twice_ends_the_run_with_the_events_that_show_it(
+    tmp_path: Path,
+) -> None:
+    done = run(tmp_path, "--break-rule")
+    assert done.returncode == 1, done.stdout + done.stderr
+    broken = json.loads((tmp_path / "results.json").read_text())["sizes"][0]["rules_broken"]
+    assert any("ran_twice" in rule[0] for rule in broken)
+    shown = next(line for line in done.stdout.splitlines() if "RULE BROKEN" in line)
+    assert "ran_twice" in shown
+    assert done.stdout.count(" started j-") >= 2
+
+
+@pytest.mark.parametrize("how", ["interrupt", "part dies"])
+def test_whatever_ends_the_run_ends_all_that_it_started(tmp_path: Path, how: str) -> None:
+    with subprocess.Popen(
+        command(tmp_path), cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    ) as running:
+        until = time.monotonic() + 30
+        while len(processes_of(tmp_path)) < 8 and time.monotonic() < until:
+            time.sleep(0.2)
+        assert len(processes_of(tmp_path)) == 8, "the run, four parts and three controllers"
+        if how == "interrupt":
+            running.send_signal(signal.SIGINT)
+        else:
+            part = next(p for p in processes_of(tmp_path) if p.cmdline()[-2:] == ["workers", "1"])
+            part.kill()
+        _, errors = running.communicate(timeout=20)
+    assert running.returncode == (130 if how == "interrupt" else 1)
+    assert ("workers-1" in errors) == (how == "part dies")
+    assert processes_of(tmp_path) == []
+
+
+@pytest.mark.parametrize(
+    ("options", "words"),
+    [
+        (["--workers=2"], "below 4"),
+        (["--workers=ten"], "--workers"),
+        (["--seconds=0"], "not above 0"),
+        (["--workers=1000000"], "lower --workers"),
+        (["--port=65535"], "lower --port"),
+    ],
+)
+def test_what_can_not_be_run_is_said_before_anything_starts(
+    tmp_path: Path, options: list[str], words: str
+) -> None:
+    done = run(tmp_path, *options)
+    assert done.returncode == 2
+    assert words in done.stderr
+    assert done.stdout == ""
+    assert processes_of(tmp_path) == []
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -20,7 +20,16 @@
 """
 MOST_MODULES = 230
 """About 180 in use (those of the interpreter's own start included)."""
-OF_OTHER_COMMANDS = ("asyncio", "http", "email", "ssl", "subprocess", "flaxtally.standin", "tests")
+OF_OTHER_COMMANDS = (
+    "asyncio",
+    "http",
+    "email",
+    "ssl",
+    "subprocess",
+    "flaxtally.standin",
+    "flaxtally.emulator",
+    "tests",
+)
 
 
 def modules_of_serve(cache: Path) -> dict[str, str]:
