emulate scale: several sizes in one run; a takeover is measured to the first job that the successor accepts

Need: the second size found the first one's port taken; starts right after a takeover were launches of the former leader. Change: the coordinator's loop closes its sockets; the takeover ends with the first 201 to a user who asked after it.

--- a/flaxtally/emulator/coordinator.py
+++ b/flaxtally/emulator/coordinator.py
@@ -132,6 +132,7 @@
             self._loop.run()
         finally:
             self.processes.end_all()
+            self._loop.close()
         if self._failure is not None:
             raise self._failure
         return self.recording
--- a/flaxtally/emulator/history.py
+++ b/flaxtally/emulator/history.py
@@ -9,6 +9,7 @@
 from .. import wire
 from .load import Load, number_of
 from .messages import (
+    ANSWERED_SUBMIT,
     ANSWERS,
     CANCEL_ASKED,
     ENDED,
@@ -20,6 +21,7 @@
 from .rules import Rules
 
 LOOK_EVERY_S = 1.0
+OK, CREATED = 200, 201
 EVENTS_SHOWN = 12
 TASK_OR_JOB = re.compile(r"j-[0-9]+(/[0-9]+)?")
 
@@ -137,10 +139,16 @@
         """Starts of tasks in that time."""
         return sum(event.kind == STARTED and since <= event.at < until for event in self.events)
 
-    def first_start_after(self, at: float) -> float | None:
-        """When the first task started after that."""
+    def first_acceptance_after(self, at: float) -> float | None:
+        """When the first job was accepted whose user asked after that."""
         return min(
-            (event.at for event in self.events if event.kind == STARTED and event.at >= at),
+            (
+                event.at
+                for event in self.events
+                if event.kind == ANSWERED_SUBMIT
+                and event.status == CREATED
+                and event.asked_at >= at
+            ),
             default=None,
         )
 
@@ -149,7 +157,7 @@
         times = [
             event.at
             for event in self.events
-            if event.kind in kinds and event.status in (200, 201) and since <= event.at < until
+            if event.kind in kinds and event.status in (OK, CREATED) and since <= event.at < until
         ]
         marks = [since, *sorted(times), until]
         return max(later - earlier for earlier, later in pairwise(marks))
--- a/flaxtally/emulator/results.py
+++ b/flaxtally/emulator/results.py
@@ -83,7 +83,7 @@
     warm_up_s: float | None
     phases: list[PhaseResult]
     takeover_s: float | None
-    """From the leader's end to the first start of a task after another one led."""
+    """From the leader's end to the first job that its successor accepted: a commit."""
     ledger_pages: float
     loop_behind_s: dict[str, float]
     """The latest timer of each controller that logged one, in seconds."""
@@ -140,8 +140,8 @@
         ended, led = self._recording.leader_ended_at, self._recording.taken_over_at
         if ended is None or led is None:
             return None
-        started = self._recording.history.first_start_after(led)
-        return None if started is None else round(started - ended, 2)
+        accepted = self._recording.history.first_acceptance_after(led)
+        return None if accepted is None else round(accepted - ended, 2)
 
     # A phase
 
--- a/flaxtally/emulator/scale.py
+++ b/flaxtally/emulator/scale.py
@@ -163,7 +163,7 @@
     """What a size shows besides its figures."""
     warm = "not reached" if size.warm_up_s is None else f"{size.warm_up_s:.0f} s"
     taken = "not seen" if size.takeover_s is None else f"{size.takeover_s:.1f} s"
-    lines = [f"        warm-up {warm}; first start after the leader's end {taken}"]
+    lines = [f"        warm-up {warm}; first job accepted after the leader's end {taken}"]
     if size.missed_aims:
         lines.append(f"        missed: {'; '.join(size.missed_aims)}")
         lines.append(f"        saturated: {size.saturated}")
--- a/flaxtally/loop.py
+++ b/flaxtally/loop.py
@@ -284,6 +284,13 @@
     def stop(self) -> None:
         self._running = False
 
+    def close(self) -> None:
+        """Closes every socket, for those who go on after the loop. It can't be run again."""
+        for key in list(self.selector.get_map().values()):
+            assert isinstance(key.fileobj, socket.socket)
+            key.fileobj.close()
+        self.selector.close()
+
     def _turn(self) -> None:
         wait: float | None = None
         # Most timers are time limits that are kept: to wake for each of them cost more than most
