--- /dev/null
+++ b/flaxtally/cells/gateway.py
@@ -0,0 +1,320 @@
+"""Users' questions in a fleet of cells: any controller takes any, and passes it to the job's cell.
+
+The directory says which cell that is. A submission of a job that is in no cell is sent to one that
+can serve it; one whose cell gives no sign is sent elsewhere as long as that cell has not kept it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import logging
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from .. import wire
+from ..actor import Actor
+from ..election import Election
+from ..loop import Runtime, Timer
+from ..peers import Frame, Peers
+from ..policy import Policy
+from .directory import Directory, Entry, Found
+from .map import Cell, CellIndex
+from .messages import (
+    Answer,
+    CellState,
+    Kind,
+    Message,
+    Question,
+    from_frame,
+    to_frame,
+)
+
+log = logging.getLogger(__name__)
+
+Told = Callable[[int, Any], None]
+SUBMIT = "submit"
+MOST_MOVES = 4
+"""Cells that one submission is sent to, at most."""
+CHOICES = 2
+"""Of so many cells, drawn by the job's id, the one under less pressure is taken."""
+NOT_NOW, NOT_FOUND = 503, 404
+
+
+class _Passed:
+    """A question on its way to another cell."""
+
+    __slots__ = ("asked", "done", "timer", "until")
+
+    def __init__(self, asked: str, done: Told, until: float) -> None:
+        self.asked, self.done, self.until = asked, done, until
+        self.timer: Timer | None = None
+
+
+class OtherCells:
+    """What controllers of other cells have said lately."""
+
+    def __init__(self, links: Peers) -> None:
+        self._links = links
+        self._said: dict[str, CellState] = {}
+        self._pressure: dict[str, float] = {}
+        self._kinds: dict[str, list[Kind]] = {}
+
+    def note(self, sender: str, state: CellState) -> None:
+        self._said[sender] = state
+        if state.pressure is not None:
+            self._pressure[state.cell] = state.pressure
+            self._kinds[state.cell] = state.kinds
+
+    def able(self, cell: Cell) -> list[str]:
+        """The cell's controllers that were heard lately and reach a leader."""
+        return [
+            name
+            for name in cell.controllers
+            if name in self._said and self._said[name].able and self._links.direct(name)
+        ]
+
+    def pressure(self, cell: Cell) -> float:
+        return self._pressure.get(cell.name, 0.0)
+
+    def kinds(self, cell: Cell) -> list[Kind] | None:
+        """The types that the cell can rent; None while it has not said."""
+        return self._kinds.get(cell.name)
+
+
+def holds(kinds: list[Kind] | None, spec: wire.Spec) -> bool:
+    """Whether one of the types can hold a task of the job. Unknown types may."""
+    return kinds is None or any(
+        (spec.types is None or kind.name in spec.types)
+        and kind.cores >= spec.cores
+        and kind.gpus >= spec.gpus
+        and kind.ram >= spec.ram
+        for kind in kinds
+    )
+
+
+def draw(ref: str, cells: list[Cell]) -> list[Cell]:
+    """The cells in an order that the job's id alone decides (rendezvous hashing)."""
+
+    def weight(cell: Cell) -> bytes:
+        return hashlib.blake2b(f"{ref} {cell.name}".encode(), digest_size=8).digest()
+
+    return sorted(cells, key=weight)
+
+
+class Gateway(Actor):
+    """Owns the questions under way between this controller and other cells."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        policy: Policy,
+        cell: str,
+        index: Callable[[], CellIndex],
+        election: Election,
+        links: Peers,
+        directory: Directory,
+        ask_here: Callable[[str, Any, Told], None],
+        own_state: Callable[[], CellState],
+        most: int,
+    ) -> None:
+        """`ask_here`: this cell's way to its leader. `most`: questions passed on at a time."""
+        super().__init__(runtime)
+        self._policy, self._cell, self._index, self._election = policy, cell, index, election
+        self._links, self._directory = links, directory
+        self._ask_here, self._own_state, self._most = ask_here, own_state, most
+        self.others = OtherCells(links)
+        self._numbers = itertools.count(election.life)
+        self._passed: dict[int, _Passed] = {}
+        self.every(policy.heartbeat * 2, self._tell_state)
+
+    def _tell_state(self) -> None:
+        self._links.broadcast(to_frame(self._own_state()))
+
+    # Users
+
+    def ask(self, what: str, subject: str | bytes, answer: Told) -> None:
+        """A user's question, from this controller's own interface."""
+        if isinstance(subject, bytes):
+            self._place(subject, wire.parse_submission(subject), answer, MOST_MOVES)
+        else:
+            self._directory.look_up(subject, partial(self._ask_cell, what, subject, answer))
+
+    def _ask_cell(self, what: str, ref: str, answer: Told, found: Found | None) -> None:
+        if found is None:
+            answer(NOT_NOW, None)
+        elif found.entry is None or not found.entry.kept:
+            # No cell accepts a job before it has kept it: nobody was told that it is accepted.
+            answer(NOT_FOUND, None)
+        else:
+            self._pass(found.entry.cell, what, ref, b"", answer)
+
+    # Submissions
+
+    def _place(self, body: bytes, spec: wire.Spec, answer: Told, moves: int) -> None:
+        def found(found: Found | None) -> None:
+            if found is None:
+                answer(NOT_NOW, None)
+                return
+            entry = found.entry
+            if entry is not None and (entry.kept or entry.cell in self._able_cells()):
+                self._submit_to(entry, body, spec, answer, moves)
+                return
+            # In no cell yet, or in one that gives no sign and has not kept it.
+            chosen = self._choose(spec)
+            if chosen is None or not moves:
+                answer(NOT_NOW, None)
+                return
+            self._directory.assign(spec.ref, self._entry(chosen), found.version, assigned)
+
+        def assigned(found: Found | None) -> None:
+            if found is None or found.entry is None:
+                answer(NOT_NOW, None)
+            else:
+                self._submit_to(found.entry, body, spec, answer, moves)
+
+        self._directory.look_up(spec.ref, found)
+
+    def _entry(self, cell: Cell) -> Entry:
+        """Sent to another cell, or kept at once by this one."""
+        return Entry(cell.name, kept=cell.name == self._cell)
+
+    def _submit_to(
+        self, entry: Entry, body: bytes, spec: wire.Spec, answer: Told, moves: int
+    ) -> None:
+        if entry.cell == self._cell:
+            self._keep(spec.ref, partial(self._submit_here, body, answer))
+            return
+
+        def told(status: int, state: Any) -> None:
+            if status == NOT_NOW and not entry.kept and entry.cell not in self._able_cells():
+                # It may have kept it, and fallen silent then: the key tells.
+                self._place(body, spec, answer, moves - 1)
+            else:
+                answer(status, state)
+
+        self._pass(entry.cell, SUBMIT, spec.ref, body, told)
+
+    def _submit_here(self, body: bytes, answer: Told, kept: bool) -> None:
+        if kept:
+            self._ask_here(SUBMIT, body, answer)
+        else:
+            answer(NOT_NOW, None)
+
+    def _keep(self, ref: str, done: Callable[[bool], None]) -> None:
+        """Puts this cell's mark on the job, unless it was sent elsewhere."""
+
+        def found(found: Found | None) -> None:
+            if found is None or found.entry is None or found.entry.cell != self._cell:
+                done(False)
+            elif found.entry.kept:
+                done(True)
+            else:
+                self._directory.assign(ref, Entry(self._cell, True), found.version, marked)
+
+        def marked(found: Found | None) -> None:
+            done(found is not None and found.entry == Entry(self._cell, True))
+
+        self._directory.look_up(ref, found)
+
+    def _able_cells(self) -> set[str]:
+        able = {cell.name for cell in self._index().cells.values() if self.others.able(cell)}
+        if self._election.able:
+            able.add(self._cell)
+        return able
+
+    def _choose(self, spec: wire.Spec) -> Cell | None:
+        """A cell that can serve the job; None if no cell gives a sign."""
+        index, able = self._index(), self._able_cells()
+        cells = [cell for cell in index.cells.values() if cell.name in able and cell.open]
+        if spec.zone is not None:
+            home = index.by_zone.get(spec.zone)
+            # A zone that is in no cell: any leader says that the job can never run.
+            cells = [cell for cell in cells if home is None or cell == home]
+        fitting = [cell for cell in cells if holds(self._kinds(cell), spec)]
+        if spec.spread and spec.tasks > 1:
+            fitting = [cell for cell in fitting if len(cell.zones) > 1] or fitting
+        drawn = draw(spec.ref, fitting or cells)[:CHOICES]
+        return min(drawn, key=self._pressure, default=None)
+
+    def _kinds(self, cell: Cell) -> list[Kind] | None:
+        if cell.name == self._cell:
+            return self._own_state().kinds or None
+        return self.others.kinds(cell)
+
+    def _pressure(self, cell: Cell) -> float:
+        if cell.name == self._cell:
+            return self._own_state().pressure or 0.0
+        return self.others.pressure(cell)
+
+    # Between cells
+
+    def _pass(self, cell_name: str, what: str, ref: str, submission: bytes, answer: Told) -> None:
+        if cell_name == self._cell:
+            self._ask_here(what, submission or ref, answer)
+            return
+        cell = self._index().cells.get(cell_name)
+        able = self.others.able(cell) if cell is not None else []
+        if not able or len(self._passed) >= self._most:
+            answer(NOT_NOW, None)
+            return
+        number = next(self._numbers)
+        asked = able[number % len(able)]
+        patience = self._policy.ask
+        until = self.runtime.now() + patience + self._policy.process_pause
+        passed = self._passed[number] = _Passed(asked, answer, until)
+        passed.timer = self.later(patience, self._answered, number, NOT_NOW, None)
+        self._send(asked, Question(number, what, ref, submission))
+
+    def _send(self, node: str, message: Message) -> None:
+        self._links.send(node, to_frame(message))
+
+    def _answered(self, number: int, status: int, body: Any) -> None:
+        passed = self._passed.pop(number, None)
+        if passed is None:
+            return
+        if passed.timer is not None:
+            passed.timer.cancel()
+        if self.runtime.now() > passed.until:
+            # After a pause of this process it may be older than what others were told since.
+            status, body = NOT_NOW, None
+        passed.done(status, body)
+
+    def receive(self, sender: str, frame: Frame) -> None:
+        """A frame of another cell's controller. A malformed one is one log line."""
+        try:
+            message = from_frame(frame)
+        except msgspec.ValidationError as fault:
+            log.warning("event=cell_frame_malformed sender=%s why=%s", sender, fault)
+            return
+        if isinstance(message, CellState):
+            cell = self._index().by_controller.get(sender)
+            if cell is not None and cell.name == message.cell:
+                self.others.note(sender, message)
+        elif isinstance(message, Question):
+            self._serve(sender, message)
+        else:
+            passed = self._passed.get(message.number)
+            if passed is not None and passed.asked == sender:
+                self._answered(message.number, message.status, message.body)
+
+    def _serve(self, sender: str, question: Question) -> None:
+        """Another cell's controller asks about a job of this cell."""
+
+        def answer(status: int, body: Any) -> None:
+            self._send(sender, Answer(question.number, status, body))
+
+        if question.what != SUBMIT:
+            self._ask_here(question.what, question.ref, answer)
+            return
+        try:
+            named = wire.parse_submission(question.submission).ref
+        except wire.BadSubmission as fault:
+            log.warning("event=cell_frame_malformed sender=%s why=%s", sender, fault)
+            answer(NOT_NOW, None)
+            return
+        # What it names itself is kept: another job's mark would be none.
+        self._keep(named, partial(self._submit_here, question.submission, answer))
--- /dev/null
+++ b/flaxtally/cells/membership.py
@@ -0,0 +1,195 @@
+"""What a controller of a fleet of cells has besides one that stands alone.
+
+`CellSetup` says, before anything is started, what the controller's own cell is: its peers, zones,
+share of the rates, and the prefix of its keys. `Membership` wires the parts that speak with other
+cells.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from .. import wire
+from ..actor import Actor
+from ..cloud import Cloud
+from ..dispatch import Dispatch, Home, owner
+from ..election import Election
+from ..intake import Intake
+from ..leader import Leader
+from ..loop import Address, Runtime
+from ..peers import Peers
+from ..policy import Policy
+from ..settings import Settings
+from ..store import Store
+from .allotment import Allotment
+from .cell_cloud import CellCloud
+from .directory import Directory
+from .gateway import Gateway
+from .map import Cell, CellFile, CellIndex, CellMapError
+from .map_keeper import MapKeeper
+from .messages import CellState, Kind
+from .shares import Amount
+
+SHARED_PART = 0.2
+"""Of the state service's rates, for the keys that all cells share, where one service has both."""
+PASSED_PART = 0.25
+"""Of the sockets' number: so many questions may be under way to other cells."""
+
+
+class CellSetup:
+    """A controller's own cell, by the deploy file and its settings."""
+
+    def __init__(self, cells: CellFile, settings: Settings) -> None:
+        """Raises `CellMapError` if file and settings contradict each other."""
+        self.file, self._settings = cells, settings
+        self.index = CellIndex(cells.map)
+        cell = self.index.by_controller.get(settings.node)
+        if cell is None:
+            raise CellMapError(f"controller {settings.node} is in no cell")
+        unknown = set(cell.controllers) - set(settings.peers) - {settings.node}
+        if unknown:
+            raise CellMapError(
+                f"controller {min(unknown)} of cell {cell.name} is not in the settings' others"
+            )
+        strange = set(cell.zones) - set(settings.zones)
+        if strange:
+            raise CellMapError(f"zone {min(strange)} of cell {cell.name} is not in the settings")
+        self.cell: Cell = cell
+
+    @property
+    def shared_state(self) -> Address:
+        return self.file.state or self._settings.state
+
+    @property
+    def prefix(self) -> str:
+        """Before every key of the cell's own."""
+        return f"cell/{self.cell.name}/"
+
+    @property
+    def own(self) -> Settings:
+        """The settings as the cell's leader sees them: its peers, its zones, its part of rates."""
+        settings, cells = self._settings, len(self.index.cells)
+        state_part = (1 - SHARED_PART) / cells if self.file.state is None else 1.0
+        return replace(
+            settings,
+            peers={
+                name: peer for name, peer in settings.peers.items() if name in self.cell.controllers
+            },
+            zones=self.cell.zones,
+            state_rps=settings.state_rps * state_part,
+            state_write_rps=settings.state_write_rps * state_part,
+            cloud_rps=settings.cloud_rps / cells,
+        )
+
+    def cloud(self, runtime: Runtime, policy: Policy) -> Cloud:
+        own = self.own
+        zones = frozenset(self.cell.zones)
+        return CellCloud(runtime, own.cloud, own.cloud_rps, policy.call * 2, zones)
+
+
+class Membership(Actor):
+    """Owns map, directory, shares and the links to other cells' controllers."""
+
+    def __init__(
+        self, runtime: Runtime, settings: Settings, policy: Policy, setup: CellSetup
+    ) -> None:
+        super().__init__(runtime)
+        self._settings, self._policy, self._setup = settings, policy, setup
+        self._store = Store(runtime, setup.shared_state, policy.call, policy.first_call)
+        self.keeper = MapKeeper(runtime, self._store, settings.node, setup.file.map, policy.probe)
+        self.directory = Directory(self._store)
+        self.allotment = Allotment(
+            runtime,
+            self._store,
+            setup.cell.name,
+            lambda: sorted(self.keeper.index.cells),
+            settings.teams,
+            self._demand,
+            self._used,
+            policy.probe,
+        )
+        self._leader: Leader | None = None
+        self._election: Election | None = None
+
+    def connect(
+        self,
+        election: Election,
+        peers: Peers,
+        intake: Intake,
+        dispatch: Dispatch,
+        leader: Leader,
+    ) -> None:
+        """Puts the cell's gateway between users and leader, and sends strange machines home."""
+        self._leader, self._election = leader, election
+        settings = self._settings
+        others = {
+            name: address
+            for name, (_, address) in settings.peers.items()
+            if name not in self._setup.cell.controllers
+        }
+        self.links = Peers(
+            self.runtime,
+            settings.node,
+            None,
+            others,
+            self._policy.peer_silence * 2,
+            self._policy.gather,
+            lambda sender, frame: self.gateway.receive(sender, frame),
+        )
+        peers.beside = self.links
+        self.gateway = Gateway(
+            self.runtime,
+            self._policy,
+            self._setup.cell.name,
+            lambda: self.keeper.index,
+            election,
+            self.links,
+            self.directory,
+            intake.ask_leader,
+            self._state,
+            int(settings.max_sockets * PASSED_PART),
+        )
+        intake.route = self.gateway.ask
+        dispatch.home_of = self._home_of
+
+    def on_pause(self, lost: float) -> None:
+        """The process stood still: other cells were not silent meanwhile."""
+        self.links.on_pause(lost)
+
+    def _home_of(self, report: wire.Report) -> Home | None:
+        index: CellIndex = self.keeper.index
+        home = index.by_zone.get(report.zone)
+        if home is None or home.name == self._setup.cell.name:
+            return None
+        known = self.gateway.others.able(home) or list(home.controllers)
+        return Home(owner(report.machine, report.zone, known, {}))
+
+    def _state(self) -> CellState:
+        election, leader = self._election, self._leader
+        assert election is not None
+        assert leader is not None
+        cell = self._setup.cell.name
+        if not leader.term.active:
+            return CellState(cell, election.able)
+        machines = max(1, len(leader.term.fleet.machines))
+        waiting = sum(job.waiting for job in leader.jobs.waiting())
+        kinds = [
+            Kind(kind.name, kind.cores, kind.gpus, kind.ram) for kind in leader.term.kinds.values()
+        ]
+        return CellState(cell, election.able, waiting / machines, kinds)
+
+    def _used(self, team: str) -> Amount:
+        assert self._leader is not None
+        usage = self._leader.book.usage.get(team)
+        return Amount(usage.cores, usage.gpus) if usage is not None else Amount(0.0, 0.0)
+
+    def _demand(self) -> dict[str, Amount]:
+        """What each team uses and waits for in this cell."""
+        assert self._leader is not None
+        found = {team: self._used(team) for team in self._leader.book.usage}
+        if self._leader.term.active:
+            for job in self._leader.jobs.waiting():
+                spec = job.spec
+                needed = Amount(spec.cores * job.waiting, spec.gpus * job.waiting)
+                found[spec.team] = found.get(spec.team, Amount(0.0, 0.0)) + needed
+        return found
--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -15,6 +15,7 @@
 from .settings import Settings, SettingsError, address, load
 
 if TYPE_CHECKING:
+    from .cells.membership import CellSetup
     from .loop import Loop
     from .node import Node
 
@@ -66,7 +67,7 @@
     Loop, Node = import_runtime()
     loop = Loop()
     try:
-        Node(loop, settings, ratios, random.Random())
+        Node(loop, settings, ratios, random.Random(), _cells(arguments, settings))
     except OSError as fault:
         print(f"flaxtally: can't listen: {fault}", file=sys.stderr)
         return REFUSED
@@ -76,9 +77,25 @@
     return DONE
 
 
+def _cells(arguments: argparse.Namespace, settings: Settings) -> CellSetup | None:
+    """What the deploy file says of cells; None: this fleet is not divided."""
+    if arguments.cells is None:
+        return None
+    from .cells.map import CellMapError, read_file
+    from .cells.membership import CellSetup
+
+    try:
+        cells = read_file(arguments.cells)
+        # A single cell is the undivided fleet: nothing differs from one without the file.
+        return CellSetup(cells, settings) if len(cells.map.cells) > 1 else None
+    except CellMapError as fault:
+        raise BadInput(str(fault)) from None
+
+
 def _check(arguments: argparse.Namespace) -> int:
     settings = _settings(arguments)
     _policy(arguments, settings)
+    _cells(arguments, settings)
     print(f"{arguments.config}: settings are sound")
     if arguments.policy is not None:
         print(f"{arguments.policy}: policy is sound")
@@ -157,6 +174,24 @@
     return DONE
 
 
+def _cells_check(arguments: argparse.Namespace) -> int:
+    from .cells.command import check
+
+    return check(arguments.file)
+
+
+def _cells_apply(arguments: argparse.Namespace) -> int:
+    from .cells.command import apply
+
+    return apply(arguments.file, arguments.state)
+
+
+def _cells_show(arguments: argparse.Namespace) -> int:
+    from .cells.command import show
+
+    return show(arguments.state)
+
+
 def _demo(arguments: argparse.Namespace) -> int:
     from .standin.demo import run
 
@@ -185,10 +220,10 @@
         command.set_defaults(run=run)
         return command
 
-    shown = commands.add_parser(
+    policies = commands.add_parser(
         "policy", help="the operators' settings", description="the operators' settings"
     )
-    inner = shown.add_subparsers(dest="what", required=True, metavar="COMMAND")
+    inner = policies.add_subparsers(dest="what", required=True, metavar="COMMAND")
     for command in (
         add(commands, "serve", _serve, "run a controller"),
         add(commands, "check", _check, "check a settings file, and a policy file"),
@@ -200,6 +235,21 @@
         command.add_argument(
             "--policy", metavar="FILE", help="the operators' settings (docs/policy.md)"
         )
+        command.add_argument(
+            "--cells", metavar="FILE", help="the deploy file with the fleet's cells (docs/cells.md)"
+        )
+    cell_map = commands.add_parser(
+        "cells", help="the map of the fleet's cells", description="the map of the fleet's cells"
+    ).add_subparsers(dest="what", required=True, metavar="COMMAND")
+    check = add(cell_map, "check", _cells_check, "check a deploy file's cells")
+    apply = add(cell_map, "apply", _cells_apply, "put a newer map in force")
+    shown = add(cell_map, "show", _cells_show, "show the map in force, and the teams' shares")
+    for command in (check, apply):
+        command.add_argument("file", metavar="FILE", help="a deploy file with [cells]")
+    for command in (apply, shown):
+        command.add_argument(
+            "--state", required=True, metavar="HOST:PORT", help="the cells' shared state service"
+        )
     submit = add(commands, "submit", _submit, "submit a job")
     submit.add_argument(
         "job", metavar="FILE", help='the job as JSON, in the protocol\'s words; "-": standard input'
--- a/flaxtally/dispatch.py
+++ b/flaxtally/dispatch.py
@@ -6,7 +6,7 @@
 import itertools
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -42,6 +42,12 @@
     return max(view, key=weight, default=None)
 
 
+class Home(NamedTuple):
+    """The controller that a machine of others is to report to, if one is known."""
+
+    node: str | None
+
+
 class OrderNumbers:
     """Tells orders that come a second time from those that come for the first.
 
@@ -84,6 +90,8 @@
         self._settings, self._policy = settings, policy
         self._election, self._peers, self._workers = election, peers, workers
         self._deliver: Callable[[str, wire.Report], None] = lambda *_: None
+        self.home_of: Callable[[wire.Report], Home | None] = lambda _: None
+        """Where a machine reports that is none of ours; None: it is ours."""
         self._started = runtime.now()
         self._heard: dict[str, tuple[float, wire.Report]] = {}
         self._sent_on: dict[str, float] = {}
@@ -116,6 +124,10 @@
             log.warning("a worker's report: %s", fault)
             request.reply(400, {"error": "not a report"})
             return
+        home = self.home_of(report)
+        if home is not None:
+            request.reply(421, wire.report_elsewhere(home.node))
+            return
         election, now, name = self._election, self.runtime.now(), report.machine
         if election.term == 0 and report.token and now - self._started < self._policy.unattended:
             # Begun anew where nothing can be reached: it keeps the tasks of those who ask it, and
--- a/flaxtally/intake.py
+++ b/flaxtally/intake.py
@@ -66,6 +66,8 @@
         )
         self._ids = itertools.count(election.life)
         self._asked: dict[int, _Question] = {}
+        self.route: Callable[[str, str | bytes, Answer], None] = self.ask_leader
+        """How a user's question reaches who can answer it."""
         self.every(policy.heartbeat / 2, self._renew)
 
     def handle(self, request: Request) -> None:
@@ -82,13 +84,15 @@
             ref, _, verb = path[len(wire.WORK) + 1 :].partition("/")
             if verb == "cancel":
                 self._only(
-                    "POST", request, lambda request: self._ask("cancel", ref, self._answer(request))
+                    "POST",
+                    request,
+                    lambda request: self.route("cancel", ref, self._answer(request)),
                 )
             elif verb:
                 request.reply(404, {"error": "no such path"})
             else:
                 self._only(
-                    "GET", request, lambda request: self._ask("poll", ref, self._answer(request))
+                    "GET", request, lambda request: self.route("poll", ref, self._answer(request))
                 )
         else:
             request.reply(404, {"error": "no such path"})
@@ -116,7 +120,7 @@
         except wire.BadSubmission as fault:
             self._malformed(request, str(fault), answer)
             return
-        self._ask("submit", request.body, answer)
+        self.route("submit", request.body, answer)
 
     def _malformed(self, request: Request, why: str, answer: Answer) -> None:
         """A known job's submission is answered with its state, whatever its body has become."""
@@ -135,11 +139,12 @@
             else:
                 answer(status, state)
 
-        self._ask("poll", ref, told)
+        self.route("poll", ref, told)
 
     # To the leader
 
-    def _ask(self, what: str, subject: str | bytes, answer: Answer) -> None:
+    def ask_leader(self, what: str, subject: str | bytes, answer: Answer) -> None:
+        """Passes a question to the leader; answers 503 at once when that can't be."""
         election = self._election
         leader = election.leader
         if (
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -282,7 +282,7 @@
         cores, gpus = self._claims.get(spec.team, (0.0, 0.0))
         left = spec.tasks - len(job.done_tasks)
         self._claims[spec.team] = cores, gpus = cores + spec.cores * left, gpus + spec.gpus * left
-        team = self.settings.teams.get(spec.team)
+        team = self.term.limits.of(spec.team)
         # A team without any guarantee is beyond it with its first task.
         if (
             team is None
@@ -352,7 +352,7 @@
         return {}
 
     def within_limit(self, spec: wire.Spec, count: int = 1) -> bool:
-        team, usage = self.settings.teams.get(spec.team), self.ledger.book.usage.get(spec.team)
+        team, usage = self.term.limits.of(spec.team), self.ledger.book.usage.get(spec.team)
         if team is None:
             return False
         cores, gpus = (usage.cores, usage.gpus) if usage else (0.0, 0.0)
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -150,7 +150,7 @@
         headroom: dict[str, tuple[float, float]] = {}
         for job in self.jobs.queue():
             spec = job.spec
-            team = self.settings.teams.get(spec.team)
+            team = self.term.limits.of(spec.team)
             if team is None or job.no in self.jobs.suspects:
                 continue
             if spec.team not in headroom:
--- a/flaxtally/lead/term.py
+++ b/flaxtally/lead/term.py
@@ -13,6 +13,7 @@
 from ..loop import Runtime
 from ..policy import Policy
 from ..settings import Settings
+from .limits import TeamLimits
 
 
 class Fleet:
@@ -47,9 +48,11 @@
         cloud: Cloud,
         rng: random.Random,
         kinds: dict[str, wire.MachineType],
+        limits: TeamLimits,
     ) -> None:
         self.number, self.runtime, self.settings, self.policy = number, runtime, settings, policy
         self.ledger, self.cloud, self.rng, self.kinds = ledger, cloud, rng, kinds
+        self.limits = limits
         self.active = False
         self.isolated = False
         """Others may well lead by now: see `Election.isolated`."""
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -19,6 +19,7 @@
 from .lead.consolidation import Consolidation
 from .lead.failures import Failures
 from .lead.jobs import Answer, Jobs
+from .lead.limits import TeamLimits
 from .lead.orders import OrderCarrier, Orders
 from .lead.planner import Planner
 from .lead.scheduler import Scheduler
@@ -47,8 +48,10 @@
         election: Election,
         carrier: OrderCarrier,
         rng: random.Random,
+        limits: TeamLimits,
     ) -> None:
         super().__init__(runtime)
+        self._limits = limits
         self._settings, self._policy, self._ledger, self._cloud = settings, policy, ledger, cloud
         self._election, self._carrier, self._rng = election, carrier, rng
         self._wire(0)
@@ -66,6 +69,7 @@
             self._cloud,
             self._rng,
             kinds or {},
+            self._limits,
         )
         self.orders = Orders(term, self._carrier)
         self.jobs = Jobs(term, self.orders)
@@ -88,11 +92,13 @@
         self.term.active = False
         self._wire(number, self.term.kinds)
         self._cloud.forget()
+        self._limits.begin(number)
         self._ledger.open(version, self._ready)
 
     def on_end(self) -> None:
         if self.term.number:
             self.term.active = False
+            self._limits.end()
             self._ledger.close()
             self._cloud.forget()
             self._wire(0, self.term.kinds)
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -4,12 +4,14 @@
 
 import logging
 import random
+from typing import TYPE_CHECKING
 
 from .cloud import Cloud
 from .dispatch import Dispatch
 from .election import Election
 from .http import Server
 from .intake import Intake
+from .lead.limits import SettingsLimits, TeamLimits
 from .leader import Leader
 from .ledger.commit import Ledger
 from .loop import Runtime
@@ -21,6 +23,9 @@
 from .store import Store
 from .workers import Workers
 
+if TYPE_CHECKING:
+    from .cells.membership import CellSetup, Membership
+
 log = logging.getLogger(__name__)
 
 # Of the sockets: these shares may be taken by users and workers, and by calls to workers; the rest
@@ -33,11 +38,25 @@
     """All actors of one controller on one runtime."""
 
     def __init__(
-        self, runtime: Runtime, settings: Settings, policy: Policy, rng: random.Random
+        self,
+        runtime: Runtime,
+        settings: Settings,
+        policy: Policy,
+        rng: random.Random,
+        cells: CellSetup | None = None,
     ) -> None:
+        """`cells`: the controller is one of a fleet that is divided into several."""
         self._name = settings.node
-        store = self._store = Store(runtime, settings.state, policy.call, policy.first_call)
-        cloud = Cloud(runtime, settings.cloud, settings.cloud_rps, policy.call * 2)
+        self.membership: Membership | None = None
+        prefix = ""
+        limits: TeamLimits = SettingsLimits(settings)
+        if cells is None:
+            cloud = Cloud(runtime, settings.cloud, settings.cloud_rps, policy.call * 2)
+        else:
+            self.membership = self._join(runtime, settings, policy, cells)
+            limits, cloud = self.membership.allotment, cells.cloud(runtime, policy)
+            prefix, settings = cells.prefix, cells.own
+        store = self._store = Store(runtime, settings.state, policy.call, policy.first_call, prefix)
         workers = Workers(runtime, policy.order_call, int(settings.max_sockets * CALLED_SHARE))
         self.peers = Peers(
             runtime,
@@ -90,6 +109,7 @@
             self.election,
             self.dispatch,
             rng,
+            limits,
         )
         self.dispatch.deliver_to(self.leader.on_report)
         self.intake = Intake(
@@ -101,6 +121,10 @@
             self.dispatch.beat,
             settings.max_sockets,
         )
+        if self.membership is not None:
+            self.membership.connect(
+                self.election, self.peers, self.intake, self.dispatch, self.leader
+            )
         self._frames = {
             "hb": self.election.heartbeat,
             "rep": self.dispatch.forwarded,
@@ -122,6 +146,13 @@
         self.election.start()
         log.info("event=start node=%s zone=%s", settings.node, settings.zone)
 
+    @staticmethod
+    def _join(runtime: Runtime, settings: Settings, policy: Policy, cells: CellSetup) -> Membership:
+        # Imported here: a controller that stands alone does without cells and their library.
+        from .cells.membership import Membership
+
+        return Membership(runtime, settings, policy, cells)
+
     def _mails(self, peer: str) -> bool:
         """Whether frames for the peer may go through the state service.
 
@@ -147,6 +178,8 @@
         self.peers.on_pause(lost)
         self.election.on_pause(lost)
         self.leader.on_pause(lost)
+        if self.membership is not None:
+            self.membership.on_pause(lost)
 
     def _receive(self, sender: str, frame: Frame) -> None:
         handler = self._frames.get(frame["k"])
--- a/flaxtally/peers.py
+++ b/flaxtally/peers.py
@@ -76,19 +76,23 @@
         self,
         runtime: Runtime,
         node: str,
-        listen: Address,
+        listen: Address | None,
         others: dict[str, Address],
         silence: float,
         gather: float,
         receive: Callable[[str, Frame], None],
     ) -> None:
+        """`listen` None: another `Peers`, which has these beside it, accepts their connections."""
         super().__init__(runtime)
+        self.beside: Peers | None = None
+        """Links to nodes that are no peers of ours, and speak on connections accepted here."""
         self._node, self._silence, self._gather, self._receive = node, silence, gather, receive
         self._links = {name: _Link(address) for name, address in others.items()}
         self.heard: dict[str, float] = {name: float("-inf") for name in others}
         self.mail: Mail | None = None
         self.on_refused: Callable[[], None] = lambda: None
-        runtime.listen(listen, self._accept)
+        if listen is not None:
+            runtime.listen(listen, self._accept)
 
     def direct(self, node: str) -> bool:
         """Whether the node was lately heard over its link."""
@@ -205,18 +209,30 @@
             for frame in found:
                 if not sender:
                     node = frame.get("node")
-                    if frame["k"] != "hello" or node not in self._links:
+                    if frame["k"] != "hello" or self._links_of(node) is None:
                         log.warning("a peer did not say who it is")
                         stream.close()
                         return
                     sender.append(str(node))
                     continue
-                self.heard[sender[0]] = self.runtime.now()
-                if "hears" in frame:
-                    self._links[sender[0]].deaf = frame["hears"] is False
-                try:
-                    self._receive(sender[0], frame)
-                except Exception:
-                    log.exception("frame %s of %s failed", frame.get("k"), sender[0])
+                links = self._links_of(sender[0])
+                if links is not None:
+                    links.take(sender[0], frame)
 
         stream.on_data = data
+
+    def _links_of(self, node: Any) -> Peers | None:
+        """Whose peer the node is."""
+        if node in self._links:
+            return self
+        return self.beside if self.beside is not None and node in self.beside.heard else None
+
+    def take(self, sender: str, frame: Frame) -> None:
+        """A frame of a peer, as it came."""
+        self.heard[sender] = self.runtime.now()
+        if "hears" in frame:
+            self._links[sender].deaf = frame["hears"] is False
+        try:
+            self._receive(sender, frame)
+        except Exception:
+            log.exception("frame %s of %s failed", frame.get("k"), sender)
--- a/flaxtally/store.py
+++ b/flaxtally/store.py
@@ -37,8 +37,14 @@
 class Store:
     """Keys, transactions and leases. `contact` is when the service last answered for real."""
 
-    def __init__(self, runtime: Runtime, address: Address, timeout: float, first: float) -> None:
-        """`first`: how long to wait for the answer to a transaction's first try."""
+    def __init__(
+        self, runtime: Runtime, address: Address, timeout: float, first: float, prefix: str = ""
+    ) -> None:
+        """`first`: how long to wait for the answer to a transaction's first try.
+
+        `prefix`: put before every key, and taken off those that are read.
+        """
+        self._prefix = prefix
         self._runtime, self._timeout, self._first = runtime, timeout, first
         # More than are needed while all is answered: calls whose answers are lost keep theirs for a
         # while.
@@ -58,7 +64,8 @@
                     log.warning("state service: %s", fault)
             done(False, None)
 
-        self._client.request("GET", f"{wire.STORE}/{key}", None, self._timeout, told)
+        path = f"{wire.STORE}/{self._prefix}{key}"
+        self._client.request("GET", path, None, self._timeout, told)
 
     def rows(self, prefix: str, done: Callable[[list[wire.Row] | None], None]) -> None:
         """All rows with the prefix, over as many calls as it takes; None when one fails."""
@@ -74,18 +81,24 @@
                 log.warning("state service: %s", fault)
                 done(None)
                 return
-            found.extend(page.rows)
+            found.extend(self._own_row(row) for row in page.rows)
             if page.more and page.rows:
                 ask(page.rows[-1].key)
             else:
                 done(found)
 
         def ask(after: str | None) -> None:
-            path = wire.rows_path(prefix, after, 500)
+            path = wire.rows_path(self._prefix + prefix, after, 500)
             self._client.request("GET", path, None, self._timeout * 2, told)
 
         ask(None)
 
+    def _own_row(self, row: wire.Row) -> wire.Row:
+        """The row under its key without the prefix."""
+        if not self._prefix:
+            return row
+        return wire.Row(row.key[len(self._prefix) :], row.value, row.version)
+
     def transact(
         self,
         guards: dict[str, int],
@@ -122,6 +135,11 @@
 
         client = self._commits if commit else self._client
         timeout = self._first if first else self._timeout
+        prefix = self._prefix
+        if prefix:
+            guards = {prefix + key: version for key, version in guards.items()}
+            puts = {prefix + key: value for key, value in puts.items()}
+            drops = [prefix + key for key in drops]
         client.request("POST", wire.TXN, wire.txn(guards, puts, drops, lease), timeout, told)
 
     def hold(self, life: float, done: Callable[[int | None], None]) -> None:
--- /dev/null
+++ b/tests/cell_world.py
@@ -0,0 +1,109 @@
+"""A small deployment in simulation that is divided into two cells, one a zone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from flaxtally import wire
+from flaxtally.cells.allotment import SHARES
+from flaxtally.cells.map import Cell, CellFile, CellMap
+from flaxtally.cells.map_keeper import MAP_KEY
+from flaxtally.cells.membership import CellSetup
+from flaxtally.cells.shares import Amount, TeamShares, limit_of
+from flaxtally.ledger import book as records
+from flaxtally.settings import Settings, Team
+
+from .world import STATE, World
+
+NORTH, SOUTH = "north", "south"
+CELL_NODES = ("north-0", "south-0", "north-1", "south-1", "north-2", "south-2")
+TEAM = Team("crew", 40.0, 200.0, 16.0, 64.0)
+
+
+def cell_map(version: int = 1, **closed: bool) -> CellMap:
+    """The two cells; `north=False` closes one."""
+    cells = []
+    for name, zone in ((NORTH, "a"), (SOUTH, "b")):
+        controllers = tuple(node for node in CELL_NODES if node.startswith(name))
+        cells.append(Cell(name, (zone,), controllers, closed.get(name, True)))
+    return CellMap(version, tuple(cells))
+
+
+class CellWorld(World):
+    """Six controllers, three a cell, on one state service. Audits ledgers and shares all along."""
+
+    def __init__(self, seed: int = 1, team: Team = TEAM, **more: Any) -> None:
+        super().__init__(seed, team=team, nodes=CELL_NODES, **more)
+        self.after(0.5, self._audit)
+
+    def cells_of(self, settings: Settings) -> CellSetup:
+        return CellSetup(CellFile(cell_map(), None), settings)
+
+    def leader_of(self, cell: str) -> str | None:
+        leading = [
+            (node.election.term, name)
+            for name, node in self.nodes.items()
+            if name.startswith(cell) and node.election.leading
+            if self.sim.hosts[self.ip(name)].alive and node.leader.term.active
+        ]
+        return max(leading)[1] if leading else None
+
+    def both_lead(self) -> bool:
+        return all(self.leader_of(cell) for cell in (NORTH, SOUTH))
+
+    def nodes_of(self, cell: str) -> list[str]:
+        return [name for name in CELL_NODES if name.startswith(cell)]
+
+    def cut_off(self, nodes: list[str], for_s: float) -> None:
+        """The controllers reach neither state service nor others; their workers reach them."""
+        for node in nodes:
+            others = [self.ip(name) for name in self.names if name not in nodes]
+            self.cut(self.ip(node), [STATE[0], *others], for_s)
+
+    def put(self, key: str, value: Any) -> None:
+        """Writes to the state service as an operator, or a fault, might."""
+        txn = wire.txn({}, {key: value}, [])
+        assert self.state.transact(msgspec.convert(txn, wire.Txn))[0] == 200
+
+    def put_map(self, newer: CellMap) -> None:
+        self.put(MAP_KEY, msgspec.to_builtins(newer))
+
+    def versions(self) -> dict[str, int]:
+        """Which map each live controller has."""
+        return {
+            name: node.membership.keeper.index.version
+            for name, node in self.nodes.items()
+            if node.membership is not None and self.sim.hosts[self.ip(name)].alive
+        }
+
+    def shares(self, team: str = TEAM.name) -> TeamShares:
+        value = self.state.rows[SHARES + team][0]
+        return msgspec.convert(value, TeamShares)
+
+    def share(self, cell: str) -> Amount:
+        return self.shares().share(cell)
+
+    def cells_with(self, ref: str) -> set[str]:
+        """The cells whose ledgers have accepted the job."""
+        found = set()
+        for key, (value, _, _) in self.state.rows.items():
+            words = key.split("/")
+            if words[0] == "cell" and words[2] == "p":
+                for record in value["r"]:
+                    if record[0] == records.JOB and record[3] == ref:
+                        found.add(words[1])
+        return found
+
+    def _audit(self) -> None:
+        """No job is in two ledgers, and no team's shares are above its limit."""
+        self.after(0.5, self._audit)
+        for ref in self.specs:
+            cells = self.cells_with(ref)
+            if len(cells) > 1:
+                self.rules.breaks("in_two_cells", f"{ref} in {cells}", self.sim.time)
+        for key, (value, _, _) in self.state.rows.items():
+            team = self.teams.get(key.removeprefix(SHARES))
+            if key.startswith(SHARES) and team is not None:
+                msgspec.convert(value, TeamShares).check(limit_of(team))
--- /dev/null
+++ b/tests/test_cells.py
@@ -0,0 +1,326 @@
+"""A fleet of two cells: jobs, machines and limits, and the failures that could tear them apart."""
+
+from __future__ import annotations
+
+import pytest
+
+from flaxtally import wire
+from flaxtally.cells.directory import JOBS
+from flaxtally.cells.map_keeper import MAP_KEY
+from flaxtally.settings import Team
+
+from .cell_world import CELL_NODES, NORTH, SOUTH, CellWorld, cell_map
+from .scenarios import ends_well
+from .world import batch, spec
+
+IN_FORCE_S = 5.0
+"""The operators' aim for a change of configuration."""
+FEW = Team("crew", 0.0, 24.0, 0.0, 8.0)
+"""A limit that holds eight tasks of a batch job in all, so four a cell."""
+
+
+def service(ref: str, tasks: int = 2, **changes: object) -> wire.Spec:
+    return spec(ref, tasks=tasks, spread=False, **changes)
+
+
+def ready(seed: int = 1, **more: object) -> CellWorld:
+    world = CellWorld(seed, **more)  # type: ignore[arg-type]
+    assert world.until(world.both_lead, 15), world.trace
+    return world
+
+
+def busy_cells(seed: int = 1, jobs: int = 8) -> CellWorld:
+    """Services and arrays that users submitted at all controllers."""
+    world = ready(seed)
+    for number in range(jobs):
+        world.submit(service(f"j-{number:06d}"), node=number)
+        world.submit(batch(f"j-{100 + number:06d}", 3), run_time=25.0, node=number + 1)
+    assert world.until(lambda: len(world.running) == 5 * jobs, 90), world.trace[-30:]
+    return world
+
+
+def in_zone(ref: str, zone: str, tasks: int = 4, **changes: object) -> wire.Spec:
+    return batch(ref, tasks, zone=zone, **changes)
+
+
+# What cells do
+
+
+def test_jobs_go_to_both_cells_and_every_controller_answers_about_all() -> None:
+    world = busy_cells()
+    cells = {ref: world.cells_with(ref) for ref in world.specs}
+    assert all(len(found) == 1 for found in cells.values())
+    assert set.union(*cells.values()) == {NORTH, SOUTH}
+    world.run(2.0)
+    for ref in world.specs:
+        stages = set()
+        for name in CELL_NODES:
+            answers: list[tuple[int, object]] = []
+            world.call(name, "GET", f"{wire.WORK}/{ref}", None, lambda *a, to=answers: to.append(a))
+            assert world.until(lambda to=answers: bool(to), 5)
+            assert answers[0][0] == 200, (ref, name, answers)
+            stages.add(answers[0][1]["stage"])  # type: ignore[index]
+        assert stages <= {wire.RUNNING, wire.DONE}
+    ends_well(world)
+
+
+def test_a_job_that_nobody_submitted_is_unknown_at_every_controller() -> None:
+    world = ready()
+    for name in CELL_NODES:
+        answers: list[int] = []
+        world.call(
+            name, "GET", f"{wire.WORK}/j-424242", None, lambda s, _, to=answers: to.append(s)
+        )
+        assert world.until(lambda to=answers: bool(to), 5)
+        assert answers == [404]
+
+
+def test_a_cancellation_reaches_the_jobs_cell_from_any_controller() -> None:
+    world = busy_cells()
+    for number, ref in enumerate(sorted(world.specs)):
+        world.cancel(ref, node=number)
+    assert world.until(lambda: len(world.told_cancelled) == len(world.specs), 40)
+    assert world.until(lambda: not world.running, 10)
+    ends_well(world, 30.0)
+
+
+def test_a_job_bound_to_a_zone_runs_in_the_cell_of_that_zone() -> None:
+    world = ready()
+    for number, zone in enumerate("abab"):
+        world.submit(in_zone(f"j-{number:06d}", zone), run_time=20.0, node=number)
+    assert world.until(lambda: len(world.running) == 16, 60)
+    for number, zone in enumerate("abab"):
+        cell = NORTH if zone == "a" else SOUTH
+        assert world.cells_with(f"j-{number:06d}") == {cell}
+
+
+def test_a_job_that_can_never_run_is_refused_whatever_its_cell() -> None:
+    world = ready()
+    world.submit(service("j-000001", cores=4000.0))
+    world.submit(in_zone("j-000002", "nowhere"))
+    assert world.until(lambda: sum("refused (422)" in line for line in world.trace) == 2, 20)
+
+
+def test_machines_report_to_their_own_cells_controllers() -> None:
+    world = busy_cells()
+    world.run(20.0)
+    for worker in world.workers.values():
+        cell = NORTH if worker.machine.zone == "a" else SOUTH
+        assert worker._at.startswith(cell), (worker.machine, worker._at)
+    for name, node in world.nodes.items():
+        zones = {machine.zone for machine in node.leader.term.fleet.machines.values()}
+        assert zones <= {"a" if name.startswith(NORTH) else "b"}
+
+
+# Limits over all cells
+
+
+def test_a_share_moves_to_the_cell_that_needs_it_and_the_limit_holds_all_along() -> None:
+    world = ready(team=FEW)
+    world.submit(in_zone("j-000001", "a", 8), run_time=40.0)
+    # Its own share holds four; the other cell keeps a little for what comes next.
+    assert world.until(lambda: world.count("j-000001") >= 7, 60), world.trace[-20:]
+    assert world.share(NORTH).gpus >= 7.0
+    world.submit(in_zone("j-000002", "b", 8), run_time=5.0)
+    assert world.until(lambda: world.count("j-000002") >= 4, 120), world.trace[-20:]
+    ends_well(world)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_limit_holds_while_both_cells_ask_for_all_of_it(seed: int) -> None:
+    world = ready(seed, team=FEW)
+    for number in range(10):
+        zone = "ab"[number % 2]
+        job = in_zone(f"j-{number:06d}", zone, 4)
+        world.after(number * 3.0, world.submit, job, 4.0 + number % 3, number)
+    world.lose_writes(0.2, 30.0)
+    world.run(60.0)
+    ends_well(world)
+    assert all(len(job.done) == 4 for job in world.rules.jobs.values())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_leader_that_dies_while_it_gives_a_share_loses_and_doubles_nothing(seed: int) -> None:
+    world = ready(seed, team=FEW)
+    world.submit(in_zone("j-000001", "a", 8), run_time=30.0)
+    before = world.share(SOUTH)
+    # Its transactions are carried out late and unanswered: it dies with the gift on its way.
+    assert world.until(lambda: NORTH in world.shares().wants, 30), world.trace
+    world.lose_writes(1.0, 1.5)
+    world.run(0.3 * (seed + 1))
+    giver = world.leader_of(SOUTH)
+    assert giver is not None
+    world.crash(giver, back_after=3.0)
+    assert world.until(lambda: world.count("j-000001") >= 7, 90), world.trace[-20:]
+    assert world.share(SOUTH).gpus < before.gpus
+    world.submit(in_zone("j-000002", "b", 4), run_time=5.0)
+    ends_well(world)
+    assert len(world.rules.jobs["j-000002"].done) == 4
+
+
+def test_a_leader_that_was_replaced_can_give_nothing_of_its_cells_share() -> None:
+    world = ready(team=FEW)
+    former = world.leader_of(SOUTH) or ""
+    # It is cut off while it still hears its workers; the cell has another leader meanwhile.
+    world.cut_off([former], 20.0)
+    assert world.until(lambda: world.leader_of(SOUTH) not in (None, former), 30)
+    world.submit(in_zone("j-000001", "b", 4), run_time=30.0, node=1)
+    world.submit(in_zone("j-000002", "a", 8), run_time=30.0, node=0)
+    world.run(40.0)
+    ends_well(world)
+
+
+def test_all_controllers_restart_while_shares_move() -> None:
+    world = ready(team=FEW)
+    world.submit(in_zone("j-000001", "a", 8), run_time=15.0)
+    world.submit(in_zone("j-000002", "b", 8), run_time=5.0)
+    assert world.until(lambda: bool(world.shares().wants), 30)
+    for number, name in enumerate(CELL_NODES):
+        world.crash(name, back_after=1.0 + 0.2 * number)
+    assert world.until(world.both_lead, 30)
+    ends_well(world)
+    assert all(len(world.rules.jobs[ref].done) == 8 for ref in ("j-000001", "j-000002"))
+
+
+# Jobs that must not be in two cells
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_submission_repeated_everywhere_while_writes_come_late_is_one_job(seed: int) -> None:
+    world = ready(seed)
+    world.lose_writes(0.4, 25.0)
+    for number in range(6):
+        job = batch(f"j-{number:06d}", 2)
+        for node in range(len(CELL_NODES)):
+            world.after(0.3 * node, world.submit, job, 10.0, node + number)
+    world.run(30.0)
+    ends_well(world)
+    assert all(len(world.cells_with(ref)) == 1 for ref in world.specs)
+    assert all(len(job.done) == 2 for job in world.rules.jobs.values())
+
+
+def test_a_job_whose_cell_dies_before_it_kept_it_goes_to_another() -> None:
+    world = ready()
+    dead = world.nodes_of(SOUTH)
+    # Sent to a cell that has not marked it: what an entry controller leaves that dies just then.
+    world.put(JOBS + "j-000001", {"cell": SOUTH, "kept": False})
+    for name in dead:
+        world.crash(name)
+    world.run(3.0)
+    world.submit(batch("j-000001", 2), run_time=5.0, node=0)
+    assert world.until(lambda: world.count("j-000001") == 2, 60), world.trace[-20:]
+    assert world.cells_with("j-000001") == {NORTH}
+    for name in dead:
+        world.start(name)
+    world.submit(batch("j-000001", 2), run_time=5.0, node=1)
+    ends_well(world)
+    assert world.cells_with("j-000001") == {NORTH}
+
+
+def test_a_cell_without_controllers_keeps_its_jobs_and_its_workers_go_on_when_it_is_back() -> None:
+    world = busy_cells()
+    lost = {ref for ref in world.specs if world.cells_with(ref) == {SOUTH}}
+    assert lost
+    for name in world.nodes_of(SOUTH):
+        world.crash(name, back_after=6.0)
+    statuses: dict[str, list[int]] = {ref: [] for ref in lost}
+    world.run(2.0)
+    for ref, to in statuses.items():
+        world.call("north-0", "GET", f"{wire.WORK}/{ref}", None, lambda s, _, to=to: to.append(s))
+    world.run(3.0)
+    # Never unknown: nobody can tell, so they are told to ask again.
+    assert all(to and set(to) <= {200, 503} for to in statuses.values()), statuses
+    world.submit(batch("j-000900", 2), run_time=5.0, node=0)
+    ends_well(world)
+    assert all(world.cells_with(ref) == {SOUTH} for ref in lost)
+
+
+def test_cells_that_cannot_reach_each_other_answer_and_run_on() -> None:
+    world = busy_cells()
+    for north in world.nodes_of(NORTH):
+        world.cut(world.ip(north), [world.ip(south) for south in world.nodes_of(SOUTH)], 30.0)
+    for number in range(6):
+        world.submit(batch(f"j-{300 + number:06d}", 2), run_time=5.0, node=number)
+    world.run(30.0)
+    ends_well(world)
+
+
+# The map
+
+
+def test_a_new_map_is_in_force_everywhere_within_the_operators_time() -> None:
+    world = ready()
+    assert world.until(lambda: MAP_KEY in world.state.rows, 10)
+    world.put_map(cell_map(2, south=False))
+    assert world.until(lambda: set(world.versions().values()) == {2}, IN_FORCE_S)
+    for number in range(8):
+        world.submit(batch(f"j-{number:06d}", 1), run_time=30.0, node=number)
+    assert world.until(lambda: len(world.accepted) == 8, 20)
+    assert all(world.cells_with(ref) == {NORTH} for ref in world.specs)
+
+
+def test_a_user_who_repeats_at_a_controller_with_an_older_map_has_one_job() -> None:
+    world = ready()
+    old = world.nodes_of(SOUTH)[0]
+    world.cut(world.ip(old), ["10.2.0.1"], 12.0)
+    world.put_map(cell_map(2, south=False))
+    world.run(4.0)
+    assert world.versions()[old] == 1
+    assert world.versions()["north-0"] == 2
+    for number in range(6):
+        job = batch(f"j-{number:06d}", 1)
+        world.submit(job, run_time=10.0, node=0)
+        world.submit(job, run_time=10.0, node=CELL_NODES.index(old))
+    world.run(15.0)
+    ends_well(world)
+    assert all(len(world.cells_with(ref)) == 1 for ref in world.specs)
+
+
+def test_a_map_that_is_carried_out_late_or_twice_changes_nothing_newer() -> None:
+    world = ready()
+    world.put_map(cell_map(3, south=False))
+    assert world.until(lambda: set(world.versions().values()) == {3}, IN_FORCE_S)
+    world.put_map(cell_map(2))
+    world.run(IN_FORCE_S)
+    assert set(world.versions().values()) == {3}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "nonsense",
+        {"version": 9, "cells": []},
+        {"version": 9, "cells": [{"name": "north", "zones": ["a"], "controllers": ["north-0"]}]},
+        {"version": True, "cells": None},
+    ],
+)
+def test_a_map_that_is_nonsense_is_refused_and_the_one_in_force_stays(
+    value: object, caplog: pytest.LogCaptureFixture
+) -> None:
+    world = ready()
+    world.put(MAP_KEY, value)
+    world.run(6.0)
+    assert set(world.versions().values()) == {1}
+    refused = [line for line in caplog.messages if "cell_map_refused" in line]
+    assert len(refused) == len(CELL_NODES), "one line a controller"
+    world.submit(batch("j-000001", 1), run_time=5.0)
+    assert world.until(lambda: world.count("j-000001") == 1, 60)
+
+
+def test_frames_between_cells_that_are_nonsense_are_one_line_each(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    world = ready()
+    gateway = world.nodes["north-0"].membership.gateway  # type: ignore[union-attr]
+    caplog.clear()
+    for frame in (
+        {"k": "cell_ask"},
+        {"k": "cell_ask", "number": 1, "what": "submit", "ref": "j-1", "submission": b"?"},
+        {"k": "cell_answer", "number": "x", "status": 200},
+        {"k": "cell_state", "cell": "south", "able": "yes"},
+        {"k": "nothing"},
+    ):
+        gateway.receive("south-0", frame)
+    assert len([line for line in caplog.messages if "cell_frame_malformed" in line]) == 5
+    world.submit(batch("j-000001", 1), run_time=5.0)
+    assert world.until(lambda: world.count("j-000001") == 1, 60)
--- a/tests/world.py
+++ b/tests/world.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from flaxtally import policy, wire
+from flaxtally.cells.membership import CellSetup
 from flaxtally.emulator.rules import Rules
 from flaxtally.http import Client, Reply
 from flaxtally.ledger import book as records
@@ -109,7 +110,7 @@
         self.gave_up: list[str] = []
         """Cancellations that got no answer of use within 60 s."""
         self._pages: dict[str, tuple[int, set[tuple[str, int, str]]]] = {}
-        self._refs: dict[int, str] = {}
+        self._refs: dict[tuple[str, int], str] = {}
         self.told_cancelled: dict[str, float] = {}
         self.accepted: set[str] = set()
         self.nodes: dict[str, Node] = {}
@@ -143,8 +144,8 @@
     def ip(self, node: str) -> str:
         return f"10.0.0.{self.names.index(node) + 1}"
 
-    def start(self, node: str) -> None:
-        settings = Settings(
+    def settings_of(self, node: str) -> Settings:
+        return Settings(
             node=node,
             zone=ZONES[self.names.index(node) % 2],
             listen=(self.ip(node), 8080),
@@ -170,11 +171,19 @@
             list_lag_s=1.0,
             max_sockets=500,
         )
+
+    def cells_of(self, settings: Settings) -> CellSetup | None:
+        """Which cell the controller is of; None: the fleet is not divided."""
+        return None
+
+    def start(self, node: str) -> None:
+        settings = self.settings_of(node)
         self.nodes[node] = Node(
             self.sim.host(self.ip(node)),
             settings,
             policy.default(settings),
             random.Random(self.rng.random()),
+            self.cells_of(settings),
         )
 
     def crash(self, node: str, back_after: float | None = None) -> None:
@@ -255,14 +264,19 @@
         """Whether the state service's pages hold the placement. Pages are read on change."""
         held = False
         for key, (value, stamp, _) in sorted(self.state.rows.items()):
-            if not key.startswith("p/"):
+            ledger, page, _ = key.rpartition("p/")
+            if not page or not (ledger == "" or ledger.startswith("cell/")):
                 continue
             if self._pages.get(key, (0, None))[0] != stamp:
                 self._refs.update(
-                    {record[1]: record[3] for record in value["r"] if record[0] == records.JOB}
+                    {
+                        (ledger, record[1]): record[3]
+                        for record in value["r"]
+                        if record[0] == records.JOB
+                    }
                 )
                 placed = {
-                    (f"{self._refs.get(r[1])}/{r[2]}", r[3], r[4])
+                    (f"{self._refs.get((ledger, r[1]))}/{r[2]}", r[3], r[4])
                     for r in value["r"]
                     if r[0] == records.PLACED
                 }
