Cells: a controller takes part only once the map in force confirms its file, and not beside an undivided fleet

Need: two files that give a zone to two cells, or cells started beside the leader of the whole fleet, would be two leaders of a machine. Change: the election starts when the map has been read and agrees, and no undivided leader key is there; one log line otherwise.

--- a/flaxtally/cells/map_keeper.py
+++ b/flaxtally/cells/map_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -21,17 +22,23 @@
 class MapKeeper(Actor):
     """Owns this controller's newest map. It is read every `period` seconds.
 
-    An old map sends a new job to a cell that is no longer open, at worst: which cell a job belongs
-    to, and how a limit is divided, is decided by guarded keys and not by the map.
+    The controller takes part in its cell only once the map has confirmed what its file says of that
+    cell (`on_agreed`): two files that give a zone to two cells would be two leaders of a machine.
+    From then on an old map sends a new job to a cell that is no longer open, at worst: which cell a
+    job belongs to, and how a limit is divided, is decided by guarded keys and not by the map.
     """
 
     def __init__(
         self, runtime: Runtime, store: Store, node: str, first: CellMap, period: float
     ) -> None:
-        """`first`: the deploy file's, in force until a newer one is read."""
+        """`first`: the deploy file's. It becomes the fleet's if there is none yet."""
         super().__init__(runtime)
         self._store, self._node = store, node
         self.index = CellIndex(first)
+        self._cell = self.index.by_controller[node]
+        self._agreed = False
+        self.on_agreed: Callable[[], None] = lambda: None
+        """Called once."""
         self._reading = False
         self._refused: Any = None
         """The last value that could not be taken, so that it is logged once."""
@@ -61,6 +68,9 @@
     def _take(self, value: Any) -> None:
         try:
             found = decode(value)
+            if not self._agreed:
+                self._agree(CellIndex(found))
+                return
             if found.version <= self.index.version:
                 return
             self.index = self.index.followed_by(found)
@@ -70,3 +80,19 @@
                 log.error("event=cell_map_refused node=%s why=%s", self._node, fault)
             return
         log.info("event=cell_map node=%s version=%d", self._node, self.index.version)
+
+    def _agree(self, index: CellIndex) -> None:
+        """Takes the fleet's map in place of the file's, or raises `CellMapError`."""
+        cell = self._cell
+        for kind, names, owners in (
+            ("zone", cell.zones, index.by_zone),
+            ("controller", (self._node,), index.by_controller),
+        ):
+            for name in names:
+                owner = owners.get(name)
+                if owner is None or owner.name != cell.name:
+                    there = owner.name if owner is not None else "no cell"
+                    raise CellMapError(f"{kind} {name}: in {there}, by our file in {cell.name}")
+        self.index, self._agreed = index, True
+        log.info("event=cell_map node=%s version=%d", self._node, index.version)
+        self.on_agreed()
--- a/flaxtally/cells/membership.py
+++ b/flaxtally/cells/membership.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Callable
 from dataclasses import replace
 
 from .. import wire
 from ..actor import Actor
 from ..cloud import Cloud
 from ..dispatch import Dispatch, Home, owner
-from ..election import Election
+from ..election import LEAD, Election
 from ..intake import Intake
 from ..leader import Leader
 from ..loop import Address, Runtime
@@ -30,6 +32,8 @@
 from .messages import CellState, Kind
 from .shares import Amount
 
+log = logging.getLogger(__name__)
+
 SHARED_PART = 0.2
 """Of the state service's rates, for the keys that all cells share, where one service has both."""
 PASSED_PART = 0.25
@@ -109,6 +113,9 @@
             policy.probe,
             settings.state_write_rps,
         )
+        self._own_store = Store(runtime, settings.state, policy.call, policy.first_call)
+        """The cell's state service, under keys without the cell's prefix."""
+        self._warned = False
         self._leader: Leader | None = None
         self._election: Election | None = None
 
@@ -153,6 +160,29 @@
         intake.route = self.gateway.ask
         dispatch.home_of = self._home_of
 
+    def take_part(self, start: Callable[[], None]) -> None:
+        """Has the controller take part in its cell once that is sure to be the only one there."""
+        self.keeper.on_agreed = lambda: self._look_for_undivided(start)
+
+    def _look_for_undivided(self, start: Callable[[], None]) -> None:
+        """A leader of the whole fleet at the same state service would command our machines too."""
+
+        def told(known: bool, row: wire.Row | None) -> None:
+            if known and row is None:
+                start()
+                return
+            if known and not self._warned:
+                self._warned = True
+                log.error(
+                    "event=undivided_fleet node=%s state=%s: this fleet has been led as a whole; "
+                    "see docs/cells.md",
+                    self._settings.node,
+                    "{}:{}".format(*self._settings.state),
+                )
+            self.later(self._policy.call, self._look_for_undivided, start)
+
+        self._own_store.get(LEAD, told)
+
     def on_pause(self, lost: float) -> None:
         """The process stood still: other cells were not silent meanwhile."""
         self.links.on_pause(lost)
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -143,7 +143,10 @@
         )
         runtime.on_pause(policy.process_pause, self._on_pause)
         runtime.on_delay(policy.loop_delay, settings.lease_s, self._on_delay)
-        self.election.start()
+        if self.membership is None:
+            self.election.start()
+        else:
+            self.membership.take_part(self.election.start)
         log.info("event=start node=%s zone=%s", settings.node, settings.zone)
 
     @staticmethod
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from flaxtally import wire
 from flaxtally.cells.directory import JOBS
+from flaxtally.cells.map import CellMap
 from flaxtally.cells.map_keeper import MAP_KEY
+from flaxtally.election import LEAD
 from flaxtally.settings import Team
 
 from .cell_world import CELL_NODES, NORTH, SOUTH, CellWorld, cell_map
@@ -285,6 +288,36 @@
     assert set(world.versions().values()) == {3}
 
 
+def test_who_has_a_file_that_gives_a_zone_to_another_cell_takes_no_part(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # Two leaders would command the zone's machines, with tokens of two sequences.
+    world = CellWorld()
+    north, south = cell_map().cells
+    everything = msgspec.structs.replace(north, zones=("a", "b"))
+    world.put_map(CellMap(1, (everything, msgspec.structs.replace(south, zones=("c",)))))
+    world.run(20.0)
+    assert world.leader_of(NORTH)
+    assert world.leader_of(SOUTH) is None
+    refused = [line for line in caplog.messages if "zone b: in north, by our file" in line]
+    assert len(refused) == 3
+    world.put_map(cell_map(2))
+    assert world.until(world.both_lead, 20), "mended, they take part"
+
+
+def test_cells_do_not_begin_beside_a_fleet_that_is_led_as_a_whole(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    world = CellWorld()
+    world.put(LEAD, {"term": 4, "node": "hearth-0", "boot": "x"})
+    world.run(20.0)
+    assert world.leader_of(NORTH) is world.leader_of(SOUTH) is None
+    warned = [line for line in caplog.messages if "event=undivided_fleet" in line]
+    assert len(warned) == len(CELL_NODES), "one line a controller"
+    del world.state.rows[LEAD]
+    assert world.until(world.both_lead, 20)
+
+
 @pytest.mark.parametrize(
     "value",
     [
