--- a/flaxtally/emulator/command.py
+++ b/flaxtally/emulator/command.py
@@ -94,6 +94,7 @@
     add("--tasks-per-worker", _positive, "running tasks a worker")
     add("--starts-per-worker", _positive, "starts a second and worker")
     add("--array-tasks", _count, "mean tasks of a batch job")
+    scale.add_argument("--policy", metavar="FILE", help="the controllers' policy (docs/policy.md)")
     scale.add_argument(
         "--break-rule",
         action="store_true",
--- a/flaxtally/emulator/coordinator.py
+++ b/flaxtally/emulator/coordinator.py
@@ -145,6 +145,8 @@
         settings = self._folder / f"{name}.toml"
         settings.write_text(settings_page(self._plan, number), encoding="utf-8")
         arguments = ["-m", "flaxtally", "serve", "--config", str(settings)]
+        if self._plan.policy is not None:
+            arguments += ["--policy", self._plan.policy]
         if self._plan.cells > 1:
             cells = self._folder / "cells.toml"
             cells.write_text(cells_page(self._plan), encoding="utf-8")
--- a/flaxtally/emulator/plan.py
+++ b/flaxtally/emulator/plan.py
@@ -68,6 +68,8 @@
     """Of the running tasks; the others are batch tasks."""
     array_tasks: int = 100
     """Mean tasks of a batch job."""
+    policy: str | None = None
+    """The controllers' policy file."""
     break_rule: bool = False
     """Has a worker start a task that is on another one."""
 
