Cells: followers choose a new job's cell by their leader's word too

Need: a follower knew nothing of how much waits in its own cell and sent every new job there. Change: the leader tells its followers what it tells other cells. Measured: a test with one cell under load; before, followers there kept all new jobs.

--- a/flaxtally/cells/gateway.py
+++ b/flaxtally/cells/gateway.py
@@ -79,8 +79,8 @@
         answer(status, body)
 
 
-class OtherCells:
-    """What controllers of other cells have said lately."""
+class CellStates:
+    """What controllers have said of their cells lately."""
 
     def __init__(self, links: Peers) -> None:
         self._links = links
@@ -95,7 +95,7 @@
             self._kinds[state.cell] = state.kinds
 
     def able(self, cell: Cell) -> list[str]:
-        """The cell's controllers that were heard lately and reach a leader."""
+        """The controllers of another cell that were heard lately and reach a leader."""
         return [
             name
             for name in cell.controllers
@@ -137,6 +137,7 @@
         self,
         runtime: Runtime,
         policy: Policy,
+        node: str,
         cell: str,
         index: Callable[[], CellIndex],
         election: Election,
@@ -144,14 +145,20 @@
         directory: Directory,
         ask_here: Callable[[str, Any, Told], None],
         own_state: Callable[[], CellState],
+        tell_peers: Callable[[Frame], None],
         most: int,
     ) -> None:
-        """`ask_here`: this cell's way to its leader. `most`: questions passed on at a time."""
+        """`ask_here`: this cell's way to its leader. `most`: questions passed on at a time.
+
+        `tell_peers`: sends a frame to the other controllers of this cell.
+        """
         super().__init__(runtime)
-        self._policy, self._cell, self._index, self._election = policy, cell, index, election
+        self._policy, self._node, self._cell = policy, node, cell
+        self._index, self._election = index, election
         self._links, self._directory = links, directory
         self._ask_here, self._own_state, self._most = ask_here, own_state, most
-        self.others = OtherCells(links)
+        self._tell_peers = tell_peers
+        self.cells = CellStates(links)
         self._numbers = itertools.count(election.life)
         self._passed: dict[int, _Passed] = {}
         self._open = 0
@@ -159,7 +166,13 @@
         self.every(policy.heartbeat * 2, self._tell_state)
 
     def _tell_state(self) -> None:
-        self._links.broadcast(to_frame(self._own_state()))
+        state = self._own_state()
+        frame = to_frame(state)
+        self._links.broadcast(frame)
+        if state.pressure is not None:
+            # The leader's word: those who follow it choose cells by it too.
+            self.cells.note(self._node, state)
+            self._tell_peers(frame)
 
     # Users
 
@@ -259,7 +272,7 @@
         self._directory.look_up(ref, found)
 
     def _able_cells(self) -> set[str]:
-        able = {cell.name for cell in self._index().cells.values() if self.others.able(cell)}
+        able = {cell.name for cell in self._index().cells.values() if self.cells.able(cell)}
         if self._election.able:
             able.add(self._cell)
         return able
@@ -272,21 +285,11 @@
             home = index.by_zone.get(spec.zone)
             # A zone that is in no cell: any leader says that the job can never run.
             cells = [cell for cell in cells if home is None or cell == home]
-        fitting = [cell for cell in cells if holds(self._kinds(cell), spec)]
+        fitting = [cell for cell in cells if holds(self.cells.kinds(cell), spec)]
         if spec.spread and spec.tasks > 1:
             fitting = [cell for cell in fitting if len(cell.zones) > 1] or fitting
         drawn = draw(spec.ref, fitting or cells)[:CHOICES]
-        return min(drawn, key=self._pressure, default=None)
-
-    def _kinds(self, cell: Cell) -> list[Kind] | None:
-        if cell.name == self._cell:
-            return self._own_state().kinds or None
-        return self.others.kinds(cell)
-
-    def _pressure(self, cell: Cell) -> float:
-        if cell.name == self._cell:
-            return self._own_state().pressure or 0.0
-        return self.others.pressure(cell)
+        return min(drawn, key=self.cells.pressure, default=None)
 
     # Between cells
 
@@ -295,7 +298,7 @@
             self._ask_here(what, submission or ref, answer)
             return
         cell = self._index().cells.get(cell_name)
-        able = self.others.able(cell) if cell is not None else []
+        able = self.cells.able(cell) if cell is not None else []
         if not able or len(self._passed) >= self._most:
             answer(NOT_NOW, None)
             return
@@ -326,7 +329,7 @@
         if isinstance(message, CellState):
             cell = self._index().by_controller.get(sender)
             if cell is not None and cell.name == message.cell:
-                self.others.note(sender, message)
+                self.cells.note(sender, message)
         elif isinstance(message, Question):
             self._serve(sender, message)
         else:
--- a/flaxtally/cells/membership.py
+++ b/flaxtally/cells/membership.py
@@ -29,7 +29,7 @@
 from .gateway import Gateway
 from .map import Cell, CellFile, CellIndex, CellMapError
 from .map_keeper import MapKeeper
-from .messages import CellState, Kind
+from .messages import STATE, CellState, Kind
 from .shares import Amount
 
 log = logging.getLogger(__name__)
@@ -94,6 +94,9 @@
 class Membership(Actor):
     """Owns map, directory, shares and the links to other cells' controllers."""
 
+    state_frame = STATE
+    """The kind of frame by which a cell's leader tells its own followers how it stands."""
+
     def __init__(
         self, runtime: Runtime, settings: Settings, policy: Policy, setup: CellSetup
     ) -> None:
@@ -148,6 +151,7 @@
         self.gateway = Gateway(
             self.runtime,
             self._policy,
+            settings.node,
             self._setup.cell.name,
             lambda: self.keeper.index,
             election,
@@ -155,6 +159,7 @@
             self.directory,
             intake.ask_leader,
             self._state,
+            peers.broadcast,
             int(settings.max_sockets * PASSED_PART),
         )
         intake.route = self.gateway.ask
@@ -192,7 +197,7 @@
         home = index.by_zone.get(report.zone)
         if home is None or home.name == self._setup.cell.name:
             return None
-        known = self.gateway.others.able(home) or list(home.controllers)
+        known = self.gateway.cells.able(home) or list(home.controllers)
         return Home(owner(report.machine, report.zone, known, {}))
 
     def _state(self) -> CellState:
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -133,6 +133,8 @@
             "ask": self.intake.asked,
             "ans": self.intake.answered,
         }
+        if self.membership is not None:
+            self._frames[self.membership.state_frame] = self.membership.gateway.receive
         Server(
             runtime,
             settings.listen,
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -97,6 +97,17 @@
         assert world.cells_with(f"j-{number:06d}") == {cell}
 
 
+def test_new_jobs_go_where_less_waits_also_at_controllers_that_follow() -> None:
+    world = ready()
+    world.submit(in_zone("j-000001", "a", 400), run_time=60.0)
+    assert world.until(lambda: "j-000001" in world.accepted, 10)
+    world.run(6.0)
+    for number, node in enumerate(CELL_NODES):
+        world.submit(batch(f"j-{10 + number:06d}", 1), run_time=5.0, node=CELL_NODES.index(node))
+    assert world.until(lambda: len(world.accepted) == 7, 20)
+    assert all(world.cells_with(f"j-{10 + number:06d}") == {SOUTH} for number in range(6))
+
+
 def test_a_job_that_can_never_run_is_refused_whatever_its_cell() -> None:
     world = ready()
     world.submit(service("j-000001", cores=4000.0))
