--- a/flaxtally/emulator/node_settings.py
+++ b/flaxtally/emulator/node_settings.py
@@ -1,79 +1,58 @@
-"""The settings files of the emulated controllers."""
+"""The settings and deploy files of the emulated controllers."""
 
 from __future__ import annotations
 
 from ..loop import Address
+from ..settings import Objective, Settings
+from ..standin.settings_text import settings_text
 from .plan import HOST, URGENT_LANE, URGENT_SHARE, URGENT_WITHIN_S, Plan
 
+LIST_LAG_S = 2.0
 
-def _address(where: Address) -> str:
-    return f'"{where[0]}:{where[1]}"'
 
-
-def _peers(plan: Plan, number: int) -> Address:
+def _peers_address(plan: Plan, number: int) -> Address:
     return HOST, plan.users_address(number)[1] + 1
 
 
+def node_settings(plan: Plan, number: int) -> Settings:
+    """The platform's settings of one controller."""
+    return Settings(
+        node=plan.nodes[number],
+        zone=plan.zone_of_node(number),
+        listen=plan.users_address(number),
+        peer_listen=_peers_address(plan, number),
+        peers={
+            name: (plan.zone_of_node(other), _peers_address(plan, other))
+            for other, name in enumerate(plan.nodes)
+            if other != number
+        },
+        cloud=plan.cloud,
+        state=plan.state(plan.cell_of_node(number)),
+        zones=tuple(plan.zone_names),
+        teams={team.name: team for team in plan.teams},
+        objectives=(Objective("wait", URGENT_LANE, URGENT_WITHIN_S, URGENT_SHARE),),
+        report_s=plan.report_s,
+        lease_s=plan.lease_s,
+        cancel_s=plan.cancel_s,
+        state_rps=plan.state_rps,
+        state_write_rps=plan.state_write_rps,
+        value_bytes=int(plan.value_kb * 1024),
+        txn_ops=plan.txn_ops,
+        cloud_rps=plan.cloud_rps,
+        list_lag_s=LIST_LAG_S,
+        max_sockets=plan.sockets,
+    )
+
+
 def settings_page(plan: Plan, number: int) -> str:
-    """The platform's settings (TOML) of one controller."""
-    zones = ", ".join(f'"{zone}"' for zone in plan.zone_names)
-    lines = [
-        f'node_name = "{plan.nodes[number]}"',
-        f'site = "{plan.zone_of_node(number)}"',
-        f"listen = {_address(plan.users_address(number))}",
-        f"cluster_listen = {_address(_peers(plan, number))}",
-    ]
-    for other, name in enumerate(plan.nodes):
-        if other != number:
-            lines += [
-                "[[others]]",
-                f'node_name = "{name}"',
-                f'site = "{plan.zone_of_node(other)}"',
-                f"peer_addr = {_address(_peers(plan, other))}",
-            ]
-    lines += [
-        "[endpoints]",
-        f"state = {_address(plan.state(plan.cell_of_node(number)))}",
-        f"cloud = {_address(plan.cloud)}",
-        "[params]",
-        f"zones = [{zones}]",
-    ]
-    for team in plan.teams:
-        lines += [
-            "[[params.teams]]",
-            f'name = "{team.name}"',
-            f"cpus = {team.cores}",
-            f"cpus_max = {team.cores_max}",
-            f"gpus = {team.gpus}",
-            f"gpus_max = {team.gpus_max}",
-        ]
-    lines += [
-        "[[params.objectives]]",
-        'kind = "wait"',
-        f'class = "{URGENT_LANE}"',
-        f"within_s = {URGENT_WITHIN_S}",
-        f"share = {URGENT_SHARE}",
-        "[params.workers]",
-        f"report_s = {plan.report_s}",
-        f"lease_s = {plan.lease_s}",
-        f"cancel_s = {plan.cancel_s}",
-        "[params.state]",
-        f"rps = {plan.state_rps}",
-        f"write_rps = {plan.state_write_rps}",
-        f"value_kb = {plan.value_kb}",
-        f"txn_ops = {plan.txn_ops}",
-        "[params.cloud]",
-        f"rps = {plan.cloud_rps}",
-        "list_lag_s = 2.0",
-        "[params.limits]",
-        f"max_sockets = {plan.sockets}",
-    ]
-    return "\n".join(lines) + "\n"
+    """The settings of one controller as a file (TOML)."""
+    return settings_text(node_settings(plan, number))
 
 
 def cells_page(plan: Plan) -> str:
     """The deploy file (TOML) that divides the fleet into the plan's cells."""
-    lines = ["[cells]", "version = 1", f"state = {_address(plan.shared_state)}"]
+    state = "{}:{}".format(*plan.shared_state)
+    lines = ["[cells]", "version = 1", f'state = "{state}"']
     for cell in range(plan.cells):
         zones = ", ".join(f'"{zone}"' for zone in plan.zones_of(cell))
         controllers = ", ".join(f'"{name}"' for name in plan.nodes_of(cell))
--- /dev/null
+++ b/flaxtally/standin/settings_text.py
@@ -0,0 +1,86 @@
+"""Writes the platform's settings file, which `flaxtally.settings.parse` reads, for emulated nodes."""
+
+from __future__ import annotations
+
+from ..loop import Address
+from ..settings import Objective, Settings, Team
+
+
+def _address(where: Address) -> str:
+    return f'"{where[0]}:{where[1]}"'
+
+
+def _team(team: Team) -> list[str]:
+    return [
+        "[[params.teams]]",
+        f'name = "{team.name}"',
+        f"cpus = {team.cores}",
+        f"cpus_max = {team.cores_max}",
+        f"gpus = {team.gpus}",
+        f"gpus_max = {team.gpus_max}",
+    ]
+
+
+def _objective(aim: Objective) -> list[str]:
+    lane = [f'class = "{aim.lane}"'] if aim.lane is not None else []
+    return [
+        "[[params.objectives]]",
+        f'kind = "{aim.kind}"',
+        *lane,
+        f"within_s = {aim.within}",
+        f"share = {aim.share}",
+        f"times = {aim.times}",
+    ]
+
+
+def settings_text(settings: Settings) -> str:
+    """The settings as TOML."""
+    zones = ", ".join(f'"{zone}"' for zone in settings.zones)
+    lines = [
+        f'node_name = "{settings.node}"',
+        f'site = "{settings.zone}"',
+        f"listen = {_address(settings.listen)}",
+        f"cluster_listen = {_address(settings.peer_listen)}",
+    ]
+    for name, (zone, where) in settings.peers.items():
+        lines += [
+            "",
+            "[[others]]",
+            f'node_name = "{name}"',
+            f'site = "{zone}"',
+            f"peer_addr = {_address(where)}",
+        ]
+    lines += [
+        "",
+        "[endpoints]",
+        f"state = {_address(settings.state)}",
+        f"cloud = {_address(settings.cloud)}",
+        "",
+        "[params]",
+        f"zones = [{zones}]",
+    ]
+    for team in settings.teams.values():
+        lines += ["", *_team(team)]
+    for aim in settings.objectives:
+        lines += ["", *_objective(aim)]
+    lines += [
+        "",
+        "[params.workers]",
+        f"report_s = {settings.report_s}",
+        f"lease_s = {settings.lease_s}",
+        f"cancel_s = {settings.cancel_s}",
+        "",
+        "[params.state]",
+        f"rps = {settings.state_rps}",
+        f"write_rps = {settings.state_write_rps}",
+        f"value_kb = {settings.value_bytes / 1024}",
+        f"txn_ops = {settings.txn_ops}",
+        "",
+        "[params.cloud]",
+        f"rps = {settings.cloud_rps}",
+        f"list_lag_s = {settings.list_lag_s}",
+        "",
+        "[params.limits]",
+        f"max_sockets = {settings.max_sockets}",
+    ]
+    return "\n".join(lines) + "\n"
