--- a/flaxtally/standin/settings_text.py
+++ b/flaxtally/standin/settings_text.py
@@ -1,4 +1,4 @@
-"""Writes the platform's settings file, which `flaxtally.settings.parse` reads, for emulated nodes."""
+"""Writes settings files, as `flaxtally.settings.parse` reads them, for emulated controllers."""
 
 from __future__ import annotations
 
