emulate scale: the history ends where all parts have told theirs

Need: a run with 2,000 workers called a rule broken (nobody_asked): a start in its last quarter of a second was told, its job's submission not yet. The service had done nothing wrong. Change: the run goes on for 1.5 s after the last phase, and what comes after that phase is left out. Measured: a test with such an end.

--- a/flaxtally/emulator/coordinator.py
+++ b/flaxtally/emulator/coordinator.py
@@ -41,6 +41,8 @@
 """The cell whose leader is ended."""
 LED = re.compile(r"event=lead node=\S+ term=([0-9]+)")
 TAKEOVER_POLL_S = 0.1
+DRAIN_S = 1.5
+"""After the last phase: until then every part has told what happened in it."""
 SAMPLE_S = 1.0
 CONNECT_PATIENCE_S = 30.0
 READY_SHARE = 0.95
@@ -258,7 +260,8 @@
         self.recording.phases += [steady, disturbed]
         self.recording.leaders[steady.name] = leaders(self._plan, self._folder)
         self.later(steady.ends - now, self._disturb, disturbed)
-        self.later(disturbed.ends - now, self._loop.stop)
+        self.recording.history.until = disturbed.ends
+        self.later(disturbed.ends + DRAIN_S - now, self._loop.stop)
 
     def _disturb(self, phase: Phase) -> None:
         length = phase.ends - phase.begins
--- a/flaxtally/emulator/history.py
+++ b/flaxtally/emulator/history.py
@@ -55,6 +55,8 @@
         self._plan, self._load = plan, Load(plan)
         self._machines = {machine.machine: machine for machine in plan.machines}
         self.events: list[Event] = []
+        self.until = float("inf")
+        """Later events are left out: not all parts have told theirs when the run ends."""
 
     def add_machine(self, machine: wire.Listed) -> None:
         self._machines[machine.machine] = machine
@@ -66,7 +68,9 @@
         """All rules over all events. An empty list: none was broken."""
         plan = self._plan
         rules = Rules({team.name: team for team in plan.teams}, plan.types, plan.cancel_s)
-        self.events.sort(key=lambda event: event.at)
+        self.events = sorted(
+            (event for event in self.events if event.at <= self.until), key=lambda event: event.at
+        )
         found: list[BrokenRule] = []
         next_look = self.events[0].at if self.events else 0.0
         for position, event in enumerate(self.events):
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -332,6 +332,18 @@
     assert [rule.text.split(":")[0].split()[-1] for rule in broken] == ["forgotten", "nothing_ran"]
 
 
+def test_what_only_some_parts_have_told_at_the_end_is_left_out() -> None:
+    # A start was told, and the submission of its job a quarter of a second before it was not yet.
+    found = history(
+        *accepted(SERVICE, 1.0),
+        Event(2.0, STARTED, f"{SERVICE}/0", "n-000000", 1),
+        Event(9.0, STARTED, f"{reference(2)}/0", "n-000001", 1),
+    )
+    found.until = 8.0
+    assert found.check() == []
+    assert len(found.events) == 3
+
+
 # Figures
 
 
