--- a/flaxtally/emulator/command.py
+++ b/flaxtally/emulator/command.py
@@ -123,6 +123,8 @@
             file=sys.stderr,
         )
         return BAD_INPUT
+    # Set for both: in a background job of a shell an interrupt would be ignored.
+    signal.signal(signal.SIGINT, _terminated)
     signal.signal(signal.SIGTERM, _terminated)
     try:
         arguments.out.mkdir(parents=True, exist_ok=True)
