--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -27,6 +27,7 @@
 from flaxtally.emulator.fit import fit, table
 from flaxtally.fleet import Machine
 from flaxtally.http import pack
+from flaxtally.ledger.book import FINAL, Book
 from flaxtally.settings import Team
 from tools.limits import fill, records
 
@@ -154,6 +155,16 @@
     return seconds(lambda: CellIndex(cell_map(cells))) * 1000
 
 
+def _final_memory(jobs: int) -> float:
+    def build() -> Book:
+        book = Book()
+        for number in range(1, jobs + 1):
+            book.replay([FINAL, number, f"j-{number:06d}", wire.DONE], number // 1000 + 1)
+        return book
+
+    return memory(build) / KB
+
+
 PLACED_JOBS = TARGET_TASKS // 8
 FIGURES = [
     Figure("ledger: KB of memory, jobs", JOB_SIZES, TARGET_JOBS, _waiting_memory),
@@ -167,6 +178,7 @@
         PLACED_JOBS,
         lambda n: ledger_bytes(n, True) / KB,
     ),
+    Figure("ledger: KB of memory, final jobs", JOB_SIZES, TARGET_JOBS, _final_memory),
     Figure("takeover: s of replay, 8-task jobs", JOB_SIZES, PLACED_JOBS, lambda n: _replay(n)),
     Figure("leader: KB of memory, machines", MACHINE_SIZES, TARGET_MACHINES, _machine_memory),
     Figure(
