Cells: one damaged key harms no other team; a raised limit is taken up; team names with spaces

Need: a transaction that would have written a damaged team's key failed as a whole, so that no other team's shares moved; what a raised limit adds belonged to no cell; keys hold no spaces. Change: damaged keys are left to the operators; who lacks takes of what no cell has, under the same guards; names are quoted in keys.

--- a/flaxtally/cells/allotment.py
+++ b/flaxtally/cells/allotment.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote, unquote
 
 import msgspec
 
@@ -52,6 +53,16 @@
     """Written, and not known to be applied or not. Until then the cell uses the smaller share."""
 
 
+def share_key(team: str) -> str:
+    """The key of a team's shares; keys hold no spaces."""
+    return SHARES + quote(team, safe="")
+
+
+def team_of(key: str) -> str:
+    """The team of such a key."""
+    return unquote(key.removeprefix(SHARES))
+
+
 def wanted_otherwise(said: Amount, lacking: Amount) -> bool:
     """Whether what a cell lacks differs so much from what it said that it says it anew."""
     return any(
@@ -88,6 +99,8 @@
         self._claim: int | None = None
         """The version of the cell's claim by this term; None: not claimed."""
         self._rows: dict[str, _Row] = {}
+        self._damaged: set[str] = set()
+        """Teams whose key holds nonsense: it is left to the operators, and not written."""
         self._busy = False
         self._write_rps = write_rps
         self._order = sorted(name for name, team in teams.items() if any(limit_of(team)))
@@ -176,7 +189,7 @@
         if rows is None:
             return
         for row in rows:
-            self._take(row.key[len(SHARES) :], row)
+            self._take(team_of(row.key), row)
         self._write_changes()
 
     def _take(self, team: str, row: wire.Row) -> None:
@@ -187,8 +200,11 @@
         try:
             shares = msgspec.convert(row.value, TeamShares)
         except msgspec.ValidationError as fault:
-            log.error("event=shares_damaged team=%s why=%s", team, fault)
+            if team not in self._damaged:
+                log.error("event=shares_damaged team=%s why=%s", team, fault)
+            self._damaged.add(team)
             return
+        self._damaged.discard(team)
         self._rows[team] = _Row(shares, row.version)
 
     # Asking and giving
@@ -202,6 +218,8 @@
             if len(changes) >= most:
                 break
             looked += 1
+            if name in self._damaged:
+                continue
             team, row = self._teams[name], self._rows.get(name)
             if row is None:
                 changes[name] = equal_shares(team, cells)
@@ -222,6 +240,9 @@
         share, limit = row.shares.share(self._cell), limit_of(team)
         lacking = needed.minus(share).at_least_nothing()
         shares = row.shares
+        free = limit.minus(shares.total).at_least_nothing().at_most(lacking)
+        if not free.is_nothing:
+            shares, lacking = shares.grown(self._cell, free), lacking.minus(free)
         if wanted_otherwise(shares.wants.get(self._cell, ZERO), lacking):
             shares = shares.with_want(self._cell, lacking.at_most(limit))
         kept = limit.times(KEPT / len(self._cells()))
@@ -243,8 +264,9 @@
         puts: dict[str, Any] = {}
         for name, shares in changes.items():
             row = self._rows.get(name)
-            guards[SHARES + name] = row.version if row is not None else 0
-            puts[SHARES + name] = msgspec.to_builtins(shares)
+            key = share_key(name)
+            guards[key] = row.version if row is not None else 0
+            puts[key] = msgspec.to_builtins(shares)
             if row is not None:
                 # Taken before it is given: from now on no more than this is used here.
                 row.pending = shares
--- a/flaxtally/cells/command.py
+++ b/flaxtally/cells/command.py
@@ -12,7 +12,7 @@
 from ..loop import Loop
 from ..settings import address
 from ..store import Outcome, Store
-from .allotment import SHARES
+from .allotment import SHARES, team_of
 from .map import CellIndex, CellMap, CellMapError, decode, read_file
 from .map_keeper import MAP_KEY
 from .shares import TeamShares
@@ -131,5 +131,5 @@
         parts = [f"{cell} {share.cores:g}/{share.gpus:g}" for cell, share in shares.of.items()]
         wants = [f"{cell} {want.cores:g}/{want.gpus:g}" for cell, want in shares.wants.items()]
         asked = f"; wanted: {', '.join(wants)}" if wants else ""
-        lines.append(f"team {row.key[len(SHARES) :]}, cores/gpus: {', '.join(parts)}{asked}")
+        lines.append(f"team {team_of(row.key)}, cores/gpus: {', '.join(parts)}{asked}")
     return lines
--- a/flaxtally/cells/shares.py
+++ b/flaxtally/cells/shares.py
@@ -94,6 +94,10 @@
         }
         return TeamShares(of, wants)
 
+    def grown(self, cell: str, amount: Amount) -> TeamShares:
+        """The cell takes of what no cell has: a limit that was raised has more than the shares."""
+        return TeamShares({**self.of, cell: self.share(cell) + amount}, self.wants)
+
     def with_want(self, cell: str, amount: Amount) -> TeamShares:
         """The same shares; the cell wants so much more."""
         wants = {name: want for name, want in self.wants.items() if name != cell}
