emulate report: runs printed again, several as one; full machines are no missed aim

Need: 125 workers were said to miss their starts: few jobs vary much, and the machines were full. Change: a shortfall of starts counts where less runs than the size is meant to; aims and lines can be reckoned anew from results.json.

--- a/flaxtally/emulator/command.py
+++ b/flaxtally/emulator/command.py
@@ -61,6 +61,10 @@
     )
     scale.add_argument("--out", type=Path, required=True, metavar="DIR", help="results and logs")
     _add_plan_options(scale)
+    text = "print the results of runs again, several as one; aims and lines are reckoned anew"
+    again = commands.add_parser("report", help=text, description=text)
+    again.set_defaults(run=run_report)
+    again.add_argument("folders", type=Path, nargs="+", metavar="DIR", help="a run's --out")
     return emulate
 
 
@@ -108,6 +112,31 @@
     return [Plan(workers=workers, **options) for workers in arguments.workers]
 
 
+def run_report(arguments: argparse.Namespace) -> int:
+    """Prints what earlier runs have left."""
+    try:
+        import msgspec
+
+        from . import scale
+    except ModuleNotFoundError as fault:
+        return _missing(fault)
+    try:
+        result = scale.combine(arguments.folders)
+    except (OSError, msgspec.DecodeError) as fault:
+        print(f"flaxtally: {fault}", file=sys.stderr)
+        return BAD_INPUT
+    print("\n".join(scale.report(result)))
+    return FAILED if result.rules_broken else DONE
+
+
+def _missing(fault: ModuleNotFoundError) -> int:
+    print(
+        f"flaxtally: {fault.name} is missing: pip install -r requirements-emulator.txt",
+        file=sys.stderr,
+    )
+    return BAD_INPUT
+
+
 def _terminated(*_: object) -> NoReturn:
     raise KeyboardInterrupt
 
@@ -118,11 +147,7 @@
         from . import limits, scale
         from .processes import ProcessEnded
     except ModuleNotFoundError as fault:
-        print(
-            f"flaxtally: {fault.name} is missing: pip install -r requirements-emulator.txt",
-            file=sys.stderr,
-        )
-        return BAD_INPUT
+        return _missing(fault)
     # Set for both: in a background job of a shell an interrupt would be ignored.
     signal.signal(signal.SIGINT, _terminated)
     signal.signal(signal.SIGTERM, _terminated)
--- a/flaxtally/emulator/results.py
+++ b/flaxtally/emulator/results.py
@@ -124,9 +124,8 @@
         """The figures of the whole run."""
         recording = self._recording
         phases = [self._phase(phase) for phase in recording.phases]
-        missed = self._missed(phases[0]) if phases else ["the steady phase was not reached"]
         pages = recording.counters.get(f"{OUTSIDE}-0", [])
-        return SizeResult(
+        result = SizeResult(
             plan=self._plan,
             warm_up_s=recording.warm_up_s,
             phases=phases,
@@ -134,10 +133,12 @@
             ledger_pages=pages[-1].totals["ledger_pages"] if pages else 0.0,
             loop_behind_s=loop_behind,
             emulator_late_s=max((late.seconds for late in recording.late), default=0.0),
-            missed_aims=missed,
-            saturated=self._saturated(phases[0]) if missed and phases else "nothing",
+            missed_aims=[],
+            saturated="",
             rules_broken=[rule.lines() for rule in broken],
         )
+        judge(result)
+        return result
 
     def _takeover(self) -> float | None:
         ended, led = self._recording.leader_ended_at, self._recording.taken_over_at
@@ -225,38 +226,52 @@
             max(usage.files for usage in usages),
         )
 
-    # What was missed, and why
-
-    def _missed(self, phase: PhaseResult) -> list[str]:
-        missed = []
-        if self._recording.warm_up_s is None:
-            missed.append(f"standing replicas ran not within {self._plan.warm_up:g} s")
-        urgent = phase.start_delay.get(URGENT_LANE, Percentiles())
-        if urgent.p95 > URGENT_WITHIN_S:
-            missed.append(f"urgent starts: p95 {urgent.p95:.1f} s, aim {URGENT_WITHIN_S:g} s")
-        if phase.report_answer.p99 > REPORT_ANSWER_S:
-            missed.append(f"report answers: p99 {phase.report_answer.p99:.1f} s")
-        if phase.submission.p99 > SUBMISSION_S:
-            missed.append(f"submissions: p99 {phase.submission.p99:.1f} s")
-        wanted = phase.submitted_tasks / phase.seconds
-        if phase.starts_per_s < STARTED_SHARE * wanted:
-            missed.append(f"starts: {phase.starts_per_s:.0f} of {wanted:.0f} a second")
-        return missed
-
-    def _saturated(self, phase: PhaseResult) -> str:
-        """The resource that was used most, if any was nearly used up."""
-        plan, cells = self._plan, self._plan.cells
-        used = {
-            "state services, changes": phase.state_changes_per_s / cells / plan.state_write_rps,
-            "state services, requests": phase.state_requests_per_s / cells / plan.state_rps,
-            "shared state service, changes": phase.shared_changes_per_s / plan.state_write_rps,
-            "shared state service, requests": phase.shared_requests_per_s / plan.state_rps,
-            "all cores of this machine": phase.machine_processor,
-        }
-        for name, use in phase.processes.items():
-            role = "leader" if name in phase.leaders else name
-            used[f"processor of {role}, peak"] = use.processor_peak
-        name = max(used, key=lambda resource: used[resource])
-        if used[name] >= FULL:
-            return f"{name} ({used[name]:.0%})"
-        return f"none measured is full; most used: {name} ({used[name]:.0%})"
+
+# What was missed, and why
+
+
+def judge(size: SizeResult) -> None:
+    """Sets which aims the steady phase missed, and what was saturated if it did."""
+    if not size.phases:
+        size.missed_aims, size.saturated = ["the steady phase was not reached"], "unknown"
+        return
+    size.missed_aims = missed_aims(size)
+    size.saturated = saturated(size.plan, size.phases[0]) if size.missed_aims else "nothing"
+
+
+def missed_aims(size: SizeResult) -> list[str]:
+    """The aims that the steady phase missed, in words."""
+    plan, phase, missed = size.plan, size.phases[0], []
+    if size.warm_up_s is None:
+        missed.append(f"standing replicas ran not within {plan.warm_up:g} s")
+    urgent = phase.start_delay.get(URGENT_LANE, Percentiles())
+    if urgent.p95 > URGENT_WITHIN_S:
+        missed.append(f"urgent starts: p95 {urgent.p95:.1f} s, aim {URGENT_WITHIN_S:g} s")
+    if phase.report_answer.p99 > REPORT_ANSWER_S:
+        missed.append(f"report answers: p99 {phase.report_answer.p99:.1f} s")
+    if phase.submission.p99 > SUBMISSION_S:
+        missed.append(f"submissions: p99 {phase.submission.p99:.1f} s")
+    wanted = phase.submitted_tasks / phase.seconds
+    # Few jobs vary much: where more runs than the size is meant to, the machines are full.
+    full = phase.running_tasks >= plan.tasks_per_worker * phase.workers
+    if phase.starts_per_s < STARTED_SHARE * wanted and not full:
+        missed.append(f"starts: {phase.starts_per_s:.0f} of {wanted:.0f} a second")
+    return missed
+
+
+def saturated(plan: Plan, phase: PhaseResult) -> str:
+    """The resource that was used most, if any was nearly used up."""
+    used = {
+        "state services, changes": phase.state_changes_per_s / plan.cells / plan.state_write_rps,
+        "state services, requests": phase.state_requests_per_s / plan.cells / plan.state_rps,
+        "shared state service, changes": phase.shared_changes_per_s / plan.state_write_rps,
+        "shared state service, requests": phase.shared_requests_per_s / plan.state_rps,
+        "all cores of this machine": phase.machine_processor,
+    }
+    for name, use in phase.processes.items():
+        role = "leader" if name in phase.leaders else name
+        used[f"processor of {role}, peak"] = use.processor_peak
+    name = max(used, key=lambda resource: used[resource])
+    if used[name] >= FULL:
+        return f"{name} ({used[name]:.0%})"
+    return f"none measured is full; most used: {name} ({used[name]:.0%})"
--- a/flaxtally/emulator/scale.py
+++ b/flaxtally/emulator/scale.py
@@ -14,9 +14,10 @@
 from .coordinator import Coordinator
 from .fit import FEWEST_SIZES, Fit, fit, table
 from .plan import BATCH_LANE, CONTROLLER, URGENT_LANE, Plan
-from .results import Analysis, Percentiles, PhaseResult, ProcessUse, SizeResult
+from .results import Analysis, Percentiles, PhaseResult, ProcessUse, SizeResult, judge
 
 LATE = re.compile(r"event=loop_behind .*late=([0-9.]+)")
+RESULTS = "results.json"
 TARGET_WORKERS = 20_000
 """The size that the operators expect."""
 
@@ -48,7 +49,7 @@
     for plan in plans:
         result.sizes.append(play(plan, folder / f"workers-{plan.workers}"))
         result.fits = fits(result.sizes)
-        save(result, folder / "results.json")
+        save(result, folder / RESULTS)
         if result.rules_broken:
             break
     return result
@@ -59,6 +60,19 @@
     path.write_bytes(msgspec.json.format(msgspec.json.encode(result)) + b"\n")
 
 
+def combine(folders: Sequence[Path]) -> ScaleResult:
+    """The results of several runs as one, by size; aims and lines are reckoned anew."""
+    result = ScaleResult([], [])
+    for folder in folders:
+        content = (folder / RESULTS).read_bytes()
+        result.sizes += msgspec.json.decode(content, type=ScaleResult).sizes
+    result.sizes.sort(key=lambda size: (size.plan.cells, size.plan.workers))
+    for size in result.sizes:
+        judge(size)
+    result.fits = fits(result.sizes)
+    return result
+
+
 def play(plan: Plan, folder: Path) -> SizeResult:
     """One size, from the start of its processes to their end."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -121,7 +135,11 @@
 
     Beyond them a figure shows what is lacking, not what the size needs.
     """
-    steady = [size.phases[0] for size in sizes if size.phases and not size.missed_aims]
+    steady = [
+        size.phases[0]
+        for size in sizes
+        if size.phases and not size.missed_aims and size.plan.cells == 1
+    ]
     if len(steady) < FEWEST_SIZES:
         return []
     workers = [phase.workers for phase in steady]
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -14,6 +14,7 @@
 
 from flaxtally import wire
 from flaxtally.cells.map import CellIndex, read_file
+from flaxtally.cli import main
 from flaxtally.cloud import Bucket
 from flaxtally.emulator import limits
 from flaxtally.emulator.fit import fit
@@ -33,8 +34,16 @@
 )
 from flaxtally.emulator.node_settings import cells_page, node_settings
 from flaxtally.emulator.outside import RemoteCloud
-from flaxtally.emulator.plan import CPU_TYPE, HOST, Plan
-from flaxtally.emulator.results import percentiles
+from flaxtally.emulator.plan import CPU_TYPE, HOST, URGENT_LANE, Plan
+from flaxtally.emulator.results import (
+    Percentiles,
+    PhaseResult,
+    ProcessUse,
+    SizeResult,
+    judge,
+    percentiles,
+)
+from flaxtally.emulator.scale import ScaleResult, combine, save
 from flaxtally.http import Client, Reply, Request, Server
 from flaxtally.peers import encode
 from flaxtally.settings import parse
@@ -368,6 +377,72 @@
     assert percentiles([]).count == 0
 
 
+def size(workers: int, starts: float, running: float, urgent_p95: float = 1.0) -> SizeResult:
+    """A size in whose steady phase 100 tasks a second were submitted."""
+    nothing = Percentiles()
+    phase = PhaseResult(
+        name="steady",
+        seconds=10.0,
+        workers=workers,
+        running_tasks=running,
+        submitted_tasks=1000,
+        starts_per_s=starts,
+        start_delay={URGENT_LANE: Percentiles(50, 0.5, urgent_p95, urgent_p95, urgent_p95)},
+        submission=nothing,
+        report_answer=nothing,
+        reports_per_s=0.6 * workers,
+        bytes_per_worker_s=600.0,
+        state_requests_per_s=50.0,
+        state_changes_per_s=45.0,
+        state_limited_per_s=0.0,
+        polls_per_s=10.0,
+        polls_unanswered_per_s=0.0,
+        longest_without_answer_s=0.1,
+        processes={"controller-1": ProcessUse(0.001 * workers, 0.2, 30.0, 10)},
+        shared_changes_per_s=0.0,
+        shared_requests_per_s=0.0,
+        leaders=["controller-1"],
+        machine_processor=0.1,
+    )
+    return SizeResult(Plan(workers=workers), 5.0, [phase], 0.5, 10.0, {}, 0.0, [], "", [])
+
+
+def test_what_was_missed_is_said_with_what_was_used_most() -> None:
+    held, slow, queued, full = (
+        size(100, 99.0, 900.0),
+        size(100, 99.0, 900.0, urgent_p95=4.0),
+        size(100, 60.0, 900.0),
+        size(100, 60.0, 960.0),
+    )
+    for each in (held, slow, queued, full):
+        judge(each)
+    assert (held.missed_aims, held.saturated) == ([], "nothing")
+    assert slow.missed_aims == ["urgent starts: p95 4.0 s, aim 3.6 s"]
+    assert slow.saturated == "state services, changes (90%)"
+    assert queued.missed_aims == ["starts: 60 of 100 a second"]
+    # More runs than the size is meant to: it is the machines that are full.
+    assert full.missed_aims == []
+
+
+def test_runs_are_combined_and_lines_drawn_through_the_sizes_that_held(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    for name, sizes in (("a", [500, 125]), ("b", [1000, 250, 2000])):
+        (tmp_path / name).mkdir()
+        results = [size(workers, 99.0 if workers < 2000 else 50.0, 1.0) for workers in sizes]
+        save(ScaleResult(results, []), tmp_path / name / "results.json")
+    found = combine([tmp_path / "a", tmp_path / "b"])
+    assert [each.plan.workers for each in found.sizes] == [125, 250, 500, 1000, 2000]
+    leader = next(line for line in found.fits if line.figure == "leader, processor (cores)")
+    assert leader.per_worker == pytest.approx(0.001)
+    assert leader.factor == 20.0, "the size that missed its aims is in no line"
+    assert main(["emulate", "report", str(tmp_path / "a")]) == 0
+    assert "lines through" not in capsys.readouterr().out
+    assert main(["emulate", "report", str(tmp_path / "nowhere")]) == 2
+    (tmp_path / "a" / "results.json").write_text("{")
+    assert main(["emulate", "report", str(tmp_path / "a")]) == 2
+
+
 # Limits
 
 
