Cells: a new job stays in the cell that was asked unless another is clearly better off

Change: the asked cell keeps the job at once, in one write, where it can serve it and another has not a waiting task a machine less.

--- a/flaxtally/cells/gateway.py
+++ b/flaxtally/cells/gateway.py
@@ -41,6 +41,8 @@
 """Cells that one submission is sent to, at most."""
 CHOICES = 2
 """Of so many cells, drawn by the job's id, the one under less pressure is taken."""
+NEAR = 1.0
+"""Waiting tasks a machine by which another cell must be better off than the one that is asked."""
 NOT_NOW, NOT_FOUND = 503, 404
 
 
@@ -289,7 +291,14 @@
         if spec.spread and spec.tasks > 1:
             fitting = [cell for cell in fitting if len(cell.zones) > 1] or fitting
         drawn = draw(spec.ref, fitting or cells)[:CHOICES]
-        return min(drawn, key=self.cells.pressure, default=None)
+        best = min(drawn, key=self.cells.pressure, default=None)
+        here = index.cells[self._cell]
+        if best is None or here not in (fitting or cells):
+            return best
+        if self.cells.pressure(here) <= self.cells.pressure(best) + NEAR:
+            # Kept at once, in one write; sent to another cell, it is written twice.
+            return here
+        return best
 
     # Between cells
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -108,6 +108,29 @@
     assert all(world.cells_with(f"j-{10 + number:06d}") == {SOUTH} for number in range(6))
 
 
+def test_a_job_stays_where_it_was_submitted_without_a_reason_and_costs_one_write(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Two changes a job at the service that all cells share made a burst of jobs wait a minute.
+    world = ready()
+    world.run(5.0)
+    written: list[str] = []
+    transact = world.state.transact
+
+    def noted(txn: wire.Txn) -> tuple[int, object]:
+        written.extend(change.put for change in txn.apply if change.put is not None)
+        return transact(txn)
+
+    monkeypatch.setattr(world.state, "transact", noted)
+    for number, name in enumerate(CELL_NODES):
+        world.submit(batch(f"j-{number:06d}", 1), run_time=20.0, node=CELL_NODES.index(name))
+    assert world.until(lambda: len(world.accepted) == 6, 10)
+    for number, name in enumerate(CELL_NODES):
+        ref = f"j-{number:06d}"
+        assert world.cells_with(ref) == {name.partition("-")[0]}
+        assert written.count(JOBS + ref) == 1
+
+
 def test_a_job_that_can_never_run_is_refused_whatever_its_cell() -> None:
     world = ready()
     world.submit(service("j-000001", cores=4000.0))
