Cells: a new leader gives nothing of its share before it has read its ledger

Change: the shares begin when the ledger has been read. The report prints the first five broken rules.

--- a/flaxtally/cells/allotment.py
+++ b/flaxtally/cells/allotment.py
@@ -119,7 +119,10 @@
         return share_as_team(settings, shares, share)
 
     def begin(self, term: int) -> None:
-        """A term begins: nothing may be used before the claim and a read after it."""
+        """A term begins: nothing may be used before the claim and a read after it.
+
+        The ledger has been read: before that `used` would tell of nothing, and all be given away.
+        """
         self.end()
         self._term = term
         cells = self._cells()
--- a/flaxtally/emulator/scale.py
+++ b/flaxtally/emulator/scale.py
@@ -18,6 +18,8 @@
 
 LATE = re.compile(r"event=loop_behind .*late=([0-9.]+)")
 RESULTS = "results.json"
+MOST_SHOWN = 5
+"""Broken rules that are printed; results.json has all of them."""
 TARGET_WORKERS = 20_000
 """The size that the operators expect."""
 
@@ -194,6 +196,8 @@
         lines.append(f"        timers late: {behind}")
     if size.emulator_late_s:
         lines.append(f"        the emulator itself was late by {size.emulator_late_s:.2f} s")
-    for rule in size.rules_broken:
+    if len(size.rules_broken) > MOST_SHOWN:
+        lines.append(f"        {len(size.rules_broken)} rules broken, the first {MOST_SHOWN}:")
+    for rule in size.rules_broken[:MOST_SHOWN]:
         lines += [f"        RULE BROKEN: {rule[0]}", *(f"        {line}" for line in rule[1:])]
     return lines
--- a/flaxtally/lead/limits.py
+++ b/flaxtally/lead/limits.py
@@ -14,7 +14,7 @@
         """The team's guarantee and limit as they are now."""
 
     def begin(self, term: int) -> None:
-        """A term begins here."""
+        """A term begins here, and its ledger has been read."""
 
     def end(self) -> None:
         """This node leads no more."""
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -92,7 +92,7 @@
         self.term.active = False
         self._wire(number, self.term.kinds)
         self._cloud.forget()
-        self._limits.begin(number)
+        self._limits.end()
         self._ledger.open(version, self._ready)
 
     def on_end(self) -> None:
@@ -142,6 +142,8 @@
         term.active = True
         term.began = now
         self._election.ready = True
+        # Only now is it known what counts against the limits.
+        self._limits.begin(term.number)
         self.jobs.recall()
         for report in self._carrier.known_machines():
             machine = term.fleet.adopt(report.machine, report.type, report.zone, report.spot)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -6,10 +6,12 @@
 import pytest
 
 from flaxtally import wire
+from flaxtally.cells.allotment import SHARES
 from flaxtally.cells.directory import JOBS
 from flaxtally.cells.map import CellMap
 from flaxtally.cells.map_keeper import MAP_KEY
 from flaxtally.election import LEAD
+from flaxtally.http import Request
 from flaxtally.settings import Team
 
 from .cell_world import CELL_NODES, NORTH, SOUTH, CellWorld, cell_map
@@ -29,6 +31,8 @@
 def ready(seed: int = 1, **more: object) -> CellWorld:
     world = CellWorld(seed, **more)  # type: ignore[arg-type]
     assert world.until(world.both_lead, 15), world.trace
+    # The first to lead writes how the limit is divided.
+    assert world.until(lambda: SHARES + world.team.name in world.state.rows, 10)
     return world
 
 
@@ -195,6 +199,32 @@
     assert len(world.rules.jobs["j-000002"].done) == 4
 
 
+def test_a_new_leader_gives_nothing_before_it_has_read_what_its_cell_uses(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Found by the scale run at 3,000 workers: shares were read sooner than a long ledger, and what
+    # the cell's tasks used was given away.
+    world = ready(team=FEW)
+    world.submit(in_zone("j-000001", "b", 4), run_time=60.0, node=1)
+    assert world.until(lambda: world.count("j-000001") == 4, 60)
+    assert world.share(SOUTH).gpus == 4.0
+    serve = world.state._serve
+
+    def slowly(request: Request) -> None:
+        if "starts=cell/south/p/" in request.path:
+            world.after(8.0, serve, request)
+        else:
+            serve(request)
+
+    monkeypatch.setattr(world.state, "_serve", slowly)
+    world.submit(in_zone("j-000002", "a", 8), run_time=60.0)
+    assert world.until(lambda: world.count("j-000002") >= 4, 60)
+    world.crash(world.leader_of(SOUTH) or "", back_after=2.0)
+    world.run(20.0)
+    assert world.share(SOUTH).gpus == 4.0
+    assert world.count("j-000001") == 4
+
+
 def test_a_leader_that_was_replaced_can_give_nothing_of_its_cells_share() -> None:
     world = ready(team=FEW)
     former = world.leader_of(SOUTH) or ""
