--- a/flaxtally/emulator/coordinator.py
+++ b/flaxtally/emulator/coordinator.py
@@ -97,7 +97,6 @@
         self.leader_ended_at: float | None = None
         self.taken_over_at: float | None = None
         """When another controller had begun to lead."""
-        self.zone_silent: tuple[float, float] | None = None
 
 
 class Coordinator(Actor):
@@ -297,8 +296,6 @@
     def _silence_zone(self) -> None:
         zone, seconds = self._plan.zone_names[-1], SILENCE_LEASES * self._plan.lease_s
         self._progress(f"{zone} is silent for {seconds:g} s")
-        now = self.runtime.now()
-        self.recording.zone_silent = now, now + seconds
         self._send(SilenceZone(zone, seconds), WORKERS)
 
 
--- a/flaxtally/emulator/messages.py
+++ b/flaxtally/emulator/messages.py
@@ -47,12 +47,6 @@
     """The load begins."""
 
 
-class Arrivals(msgspec.Struct, tag_field="k", tag="arrivals"):
-    """Whether users submit new jobs."""
-
-    on: bool
-
-
 class Events(msgspec.Struct, tag_field="k", tag="events"):
     """A piece of the history, in the order of one part."""
 
@@ -118,7 +112,6 @@
 Message = (
     Hello
     | Begin
-    | Arrivals
     | Events
     | Samples
     | Counters
--- a/flaxtally/emulator/users.py
+++ b/flaxtally/emulator/users.py
@@ -17,7 +17,6 @@
     ANSWERED_SUBMIT,
     CANCEL_ASKED,
     SUBMITTED,
-    Arrivals,
     Begin,
     Event,
     Message,
@@ -58,7 +57,6 @@
         self._rng = random.Random(f"{plan.seed}/users")
         self._clients = [Client(loop, where, CONNECTIONS) for where in plan.node_addresses.values()]
         self._arrivals: Iterator[tuple[float, int]] = self._load.arrivals()
-        self._accepting = True
         self._final: set[int] = set()
         self._open: set[int] = set()
         self._asked = self._unanswered = self._submitted = self._accepted = self._given_up = 0
@@ -69,8 +67,6 @@
     def receive(self, message: Message) -> None:
         if isinstance(message, Begin):
             self._begin()
-        elif isinstance(message, Arrivals):
-            self._accepting = message.on
 
     def _begin(self) -> None:
         within = self._plan.warm_up * SERVICES_WITHIN
@@ -86,8 +82,7 @@
 
     def _arrive(self, number: int) -> None:
         self._next_arrival()
-        if self._accepting:
-            self._submit_new(number)
+        self._submit_new(number)
 
     # Submissions and cancellations
 
