--- a/flaxtally/cells/command.py
+++ b/flaxtally/cells/command.py
@@ -79,13 +79,16 @@
     """Puts a file's map in force if it may follow the one that is."""
     try:
         cell_map, calls = read_file(path).map, _Calls(where)
-        known, row = calls.get(MAP_KEY)
-        if not known:
-            return _fail(NO_ANSWER, f"no answer from {where}")
+    except CellMapError as fault:
+        return _fail(BAD_INPUT, str(fault))
+    known, row = calls.get(MAP_KEY)
+    if not known:
+        return _fail(NO_ANSWER, f"no answer from {where}")
+    try:
         if row is not None:
             CellIndex(decode(row.value)).followed_by(cell_map)
     except CellMapError as fault:
-        return _fail(BAD_INPUT, f"{path}: cells.{fault}".replace(f"{path}: cells.{path}", path))
+        return _fail(BAD_INPUT, f"{path}: cells.{fault}")
     version = row.version if row is not None else 0
     outcome = calls.put(MAP_KEY, version, msgspec.to_builtins(cell_map))
     if outcome is Outcome.FAILED:
--- a/flaxtally/emulator/fit.py
+++ b/flaxtally/emulator/fit.py
@@ -69,5 +69,6 @@
         lines.append(
             f"{entry.figure:34} {entry.at_zero:11.4g} {entry.per_worker:12.4g} "
             f"{entry.residual:9.1%} {power:>6} {entry.at_target:11.4g} {entry.factor:7.1f}"
+            f"{'' if entry.linear else '  not linear'}"
         )
     return lines
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -497,7 +497,7 @@
 
 
 @pytest.mark.parametrize(
-    "frame", [{"k": "no_such_kind"}, {"k": "arrivals"}, {"k": "events", "events": [[1, 2]]}]
+    "frame", [{"k": "no_such_kind"}, {"k": "silence_zone"}, {"k": "events", "events": [[1, 2]]}]
 )
 def test_a_malformed_message_is_one_log_line_and_the_next_is_taken(
     frame: dict[str, object], caplog: pytest.LogCaptureFixture
