Reading: a cell's limits reckoned once a change, one rendezvous weight, one way to read TOML, state that was derived twice

Need: a leader of a cell summed a team's shares for every task it looked at; controllers looked up the owner of every frame; hashing and the reading of TOML files stood twice; what a team uses was asked for beside a demand that holds it; messages of the emulator named a part that the connection names already. No behaviour differs, and no test but the argument that is gone.

--- a/flaxtally/cells/allotment.py
+++ b/flaxtally/cells/allotment.py
@@ -82,23 +82,24 @@
         cells: Callable[[], list[str]],
         teams: dict[str, Team],
         demand: Callable[[], dict[str, Amount]],
-        used: Callable[[str], Amount],
         period: float,
         write_rps: float,
     ) -> None:
-        """`demand`: what each team uses and waits for here. `used`: what counts against its share.
+        """`demand`: what each team uses here, all that counts against its share, and waits for.
 
         `period`: seconds between reads of the shares. `write_rps`: changes a second that the shared
         state service takes.
         """
         super().__init__(runtime)
         self._store, self._cell, self._cells, self._teams = store, cell, cells, teams
-        self._demand, self._used, self._period = demand, used, period
+        self._demand, self._period = demand, period
         self._generation = 0
         self._term = 0
         self._claim: int | None = None
         """The version of the cell's claim by this term; None: not claimed."""
         self._rows: dict[str, _Row] = {}
+        self._limits: dict[str, Team] = {}
+        """The teams' limits by the rows as they are; forgotten when a row changes."""
         self._damaged: set[str] = set()
         """Teams whose key holds nonsense: it is left to the operators, and not written."""
         self._busy = False
@@ -109,9 +110,14 @@
     # The leader's limits
 
     def of(self, team: str) -> Team | None:
-        settings, row = self._teams.get(team), self._rows.get(team)
-        if settings is None:
-            return None
+        # Asked for each task that is placed; shares change about once a second.
+        limit = self._limits.get(team)
+        if limit is None and team in self._teams:
+            limit = self._limits[team] = self._limit(self._teams[team])
+        return limit
+
+    def _limit(self, settings: Team) -> Team:
+        row = self._rows.get(settings.name)
         shares = row.shares if row is not None else TeamShares({})
         share = shares.share(self._cell)
         if row is not None and row.pending is not None:
@@ -121,7 +127,7 @@
     def begin(self, term: int) -> None:
         """A term begins: nothing may be used before the claim and a read after it.
 
-        The ledger has been read: before that `used` would tell of nothing, and all be given away.
+        The ledger has been read: before that nothing would seem used, and all be given away.
         """
         self.end()
         self._term = term
@@ -134,6 +140,7 @@
     def end(self) -> None:
         self._generation += 1
         self._claim, self._rows, self._busy, self._term = None, {}, False, 0
+        self._limits.clear()
 
     # Claim, read, ask, give: one call at a time
 
@@ -208,7 +215,11 @@
             self._damaged.add(team)
             return
         self._damaged.discard(team)
-        self._rows[team] = _Row(shares, row.version)
+        self._note(team, _Row(shares, row.version))
+
+    def _note(self, team: str, row: _Row) -> None:
+        self._rows[team] = row
+        self._limits.pop(team, None)
 
     # Asking and giving
 
@@ -249,10 +260,7 @@
         if wanted_otherwise(shares.wants.get(self._cell, ZERO), lacking):
             shares = shares.with_want(self._cell, lacking.at_most(limit))
         kept = limit.times(KEPT / len(self._cells()))
-        spare = share.minus(self._used(team.name) + kept).minus(
-            needed.minus(self._used(team.name)).at_least_nothing()
-        )
-        spare = spare.at_least_nothing()
+        spare = share.minus(needed + kept).at_least_nothing()
         for taker in sorted(shares.wants):
             gift = shares.wants[taker].at_most(spare)
             if taker != self._cell and not gift.is_nothing:
@@ -273,11 +281,12 @@
             if row is not None:
                 # Taken before it is given: from now on no more than this is used here.
                 row.pending = shares
+                self._limits.pop(name, None)
 
         def told(outcome: Outcome, revision: int) -> None:
             if outcome is Outcome.DONE:
                 for name, shares in changes.items():
-                    self._rows[name] = _Row(shares, revision)
+                    self._note(name, _Row(shares, revision))
             elif outcome is Outcome.FAILED:
                 # The claim or a row has changed: both are read again. An earlier copy may have been
                 # applied, which the rows' versions tell.
--- a/flaxtally/cells/gateway.py
+++ b/flaxtally/cells/gateway.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import itertools
 import logging
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 
 from .. import wire
 from ..actor import Actor
+from ..dispatch import rendezvous_weight
 from ..election import Election
 from ..loop import Runtime, Timer
 from ..peers import Frame, Peers
@@ -125,11 +125,7 @@
 
 def draw(ref: str, cells: list[Cell]) -> list[Cell]:
     """The cells in an order that the job's id alone decides (rendezvous hashing)."""
-
-    def weight(cell: Cell) -> bytes:
-        return hashlib.blake2b(f"{ref} {cell.name}".encode(), digest_size=8).digest()
-
-    return sorted(cells, key=weight)
+    return sorted(cells, key=lambda cell: rendezvous_weight(ref, cell.name))
 
 
 class Gateway(Actor):
--- a/flaxtally/cells/map.py
+++ b/flaxtally/cells/map.py
@@ -8,16 +8,14 @@
 from __future__ import annotations
 
 import re
-import tomllib
 from collections.abc import Iterable
-from pathlib import Path
 from typing import Any
 
 import msgspec
 from pyrsistent import PMap, pmap
 
 from ..loop import Address
-from ..settings import address
+from ..settings import SettingsError, address, read_toml
 
 NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,39}\Z")
 MOST_CELLS = 64
@@ -124,11 +122,9 @@
 def read_file(path: str) -> CellFile:
     """The `[cells]` of a deploy file (TOML), or `CellMapError` with its place."""
     try:
-        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as fault:
-        raise CellMapError(f"{path}: {fault.strerror or fault}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
-        raise CellMapError(f"{path}: {fault}") from None
+        data = read_toml(path)
+    except SettingsError as fault:
+        raise CellMapError(str(fault)) from None
     try:
         return _from_table(data.get("cells"))
     except CellMapError as fault:
--- a/flaxtally/cells/membership.py
+++ b/flaxtally/cells/membership.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import replace
+from functools import cached_property
 
 from .. import wire
 from ..actor import Actor
@@ -30,7 +31,7 @@
 from .map import Cell, CellFile, CellIndex, CellMapError
 from .map_keeper import MapKeeper
 from .messages import STATE, CellState, Kind
-from .shares import Amount
+from .shares import ZERO, Amount
 
 log = logging.getLogger(__name__)
 
@@ -69,7 +70,7 @@
         """Before every key of the cell's own."""
         return f"cell/{self.cell.name}/"
 
-    @property
+    @cached_property
     def own(self) -> Settings:
         """The settings as the cell's leader sees them: its peers, its zones, its part of rates."""
         settings, cells = self._settings, len(self.index.cells)
@@ -112,7 +113,6 @@
             lambda: sorted(self.keeper.index.cells),
             settings.teams,
             self._demand,
-            self._used,
             policy.probe,
             settings.state_write_rps,
         )
@@ -214,18 +214,14 @@
         ]
         return CellState(cell, election.able, waiting / machines, kinds)
 
-    def _used(self, team: str) -> Amount:
-        assert self._leader is not None
-        usage = self._leader.book.usage.get(team)
-        return Amount(usage.cores, usage.gpus) if usage is not None else Amount(0.0, 0.0)
-
     def _demand(self) -> dict[str, Amount]:
         """What each team uses and waits for in this cell."""
         assert self._leader is not None
-        found = {team: self._used(team) for team in self._leader.book.usage}
+        usages = self._leader.book.usage
+        found = {team: Amount(usage.cores, usage.gpus) for team, usage in usages.items()}
         if self._leader.term.active:
             for job in self._leader.jobs.waiting():
                 spec = job.spec
                 needed = Amount(spec.cores * job.waiting, spec.gpus * job.waiting)
-                found[spec.team] = found.get(spec.team, Amount(0.0, 0.0)) + needed
+                found[spec.team] = found.get(spec.team, ZERO) + needed
         return found
--- a/flaxtally/dispatch.py
+++ b/flaxtally/dispatch.py
@@ -28,6 +28,11 @@
 """Numbers of a leader's orders, against frames that come twice."""
 
 
+def rendezvous_weight(key: str, name: str) -> bytes:
+    """Orders names for a key, evenly and the same in every process (rendezvous hashing)."""
+    return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
+
+
 def owner(machine: str, zone: str, view: list[str], zones: dict[str, str]) -> str | None:
     """Rendezvous hashing: the live controller that the machine belongs to.
 
@@ -35,11 +40,7 @@
     worker that must first try the far ones, at some seconds each, loses its lease on the way.
     """
     view = [node for node in view if zones.get(node) == zone] or view
-
-    def weight(node: str) -> bytes:
-        return hashlib.blake2b(f"{machine} {node}".encode(), digest_size=8).digest()
-
-    return max(view, key=weight, default=None)
+    return max(view, key=lambda node: rendezvous_weight(machine, node), default=None)
 
 
 class Home(NamedTuple):
--- a/flaxtally/emulator/coordinator.py
+++ b/flaxtally/emulator/coordinator.py
@@ -72,14 +72,6 @@
     leader: str
 
 
-class Late(NamedTuple):
-    """A part of the emulator that was behind."""
-
-    at: float
-    part: str
-    seconds: float
-
-
 class Recording:
     """All that a run left: the raw material of its results."""
 
@@ -88,7 +80,8 @@
         self.samples: dict[str, list[tuple[float, list[float]]]] = {}
         """Delays by what was measured, in pieces with the time at which each came."""
         self.counters: dict[str, list[Counters]] = {}
-        self.late: list[Late] = []
+        self.late_s = 0.0
+        """The latest timer of the emulator's own processes."""
         self.phases: list[Phase] = []
         self.warm_up_s: float | None = None
         """How long the standing replicas took to run; None: longer than was waited for."""
@@ -159,7 +152,7 @@
         self._loop.stop()
 
     def _on_delay(self, delay: LoopDelay) -> None:
-        self.recording.late.append(Late(self.runtime.now(), "coordinator", delay.late))
+        self.recording.late_s = max(self.recording.late_s, delay.late)
 
     # Parts
 
@@ -168,9 +161,7 @@
 
     def _closed(self, channel: Channel) -> None:
         self._channels.remove(channel)
-        self._fail(
-            ProcessEnded(f"{channel.role}-{channel.number} ended: see its log in {self._folder}")
-        )
+        self._fail(ProcessEnded(f"{channel.name} ended: see its log in {self._folder}"))
 
     def _send(self, message: Message, role: str) -> None:
         for channel in self._channels:
@@ -184,16 +175,14 @@
         elif isinstance(message, Samples):
             recording.samples.setdefault(message.name, []).append((now, message.values))
         elif isinstance(message, Counters):
-            name = f"{message.role}-{message.number}"
-            recording.counters.setdefault(name, []).append(message)
+            recording.counters.setdefault(channel.name, []).append(message)
         elif isinstance(message, LoopLate):
-            part = f"{message.role}-{message.number}"
-            recording.late.append(Late(now, part, message.late))
+            recording.late_s = max(recording.late_s, message.late)
         elif isinstance(message, MachineUp):
             recording.history.add_machine(message.machine)
-            number = self._plan.process_of(message.machine.machine)
+            player = f"{WORKERS}-{self._plan.process_of(message.machine.machine)}"
             for other in self._channels:
-                if (other.role, other.number) == (WORKERS, number):
+                if other.name == player:
                     other.send(message)
         elif isinstance(message, TakeMachines):
             self._send(message, WORKERS)
--- a/flaxtally/emulator/hollow_worker.py
+++ b/flaxtally/emulator/hollow_worker.py
@@ -74,14 +74,16 @@
         if self._busy:
             self._change_waits = True
             return
-        since = self._runtime.now() - self._reported_at
-        self._due(max(0.0, REPORT_GAP_S - since))
+        self._due(self._earliest())
+
+    def _earliest(self) -> float:
+        """Seconds until a change may be reported."""
+        return max(0.0, REPORT_GAP_S - (self._runtime.now() - self._reported_at))
 
     def _due(self, delay: float) -> None:
         if self._change_waits and not self._busy:
             self._change_waits = False
-            since = self._runtime.now() - self._reported_at
-            delay = min(delay, max(0.0, REPORT_GAP_S - since))
+            delay = min(delay, self._earliest())
         super()._due(delay)
 
     def _beat(self) -> None:
--- a/flaxtally/emulator/limits.py
+++ b/flaxtally/emulator/limits.py
@@ -14,6 +14,8 @@
 """Its listening socket, its own connection, and those of up to three controllers."""
 OTHER_FILES = 200
 MOST_PROCESSES = 200
+OTHER_PARTS = 3
+"""The coordinator, the users, and state services with the cloud."""
 MEMORY_SHARE = 0.5
 MB = 2**20
 CONTROLLER_MB, PART_MB = 80, 60
@@ -33,7 +35,7 @@
 
 def memory_needed(plan: Plan) -> int:
     """Bytes, about, of all processes of the run."""
-    parts = plan.worker_processes + 3
+    parts = plan.worker_processes + OTHER_PARTS
     seconds = plan.warm_up + 2 * plan.seconds
     starts = plan.workers * (plan.tasks_per_worker + plan.starts_per_worker * seconds)
     fixed = (len(plan.nodes) * CONTROLLER_MB + parts * PART_MB) * MB
@@ -44,7 +46,7 @@
     """Raises `LimitError` for the first thing that is missing."""
     if plan.zones < plan.cells:
         raise LimitError(f"{plan.cells} cells need as many zones: raise --zones")
-    processes = len(plan.nodes) + plan.worker_processes + 3
+    processes = len(plan.nodes) + plan.worker_processes + OTHER_PARTS
     if processes > MOST_PROCESSES:
         raise LimitError(
             f"{processes} processes are more than {MOST_PROCESSES}: lower --workers or "
--- a/flaxtally/emulator/messages.py
+++ b/flaxtally/emulator/messages.py
@@ -63,8 +63,6 @@
 class Counters(msgspec.Struct, tag_field="k", tag="counters"):
     """Totals since the part began."""
 
-    role: str
-    number: int
     at: float
     totals: dict[str, float]
 
@@ -72,8 +70,6 @@
 class LoopLate(msgspec.Struct, tag_field="k", tag="loop_late"):
     """A part of the emulator itself is behind: its figures aren't the controllers'."""
 
-    role: str
-    number: int
     late: float
 
 
@@ -138,6 +134,11 @@
         stream.on_data = self._data
         stream.on_close = lambda: closed(self)
 
+    @property
+    def name(self) -> str:
+        """The part at the other end, once it has said who it is."""
+        return f"{self.role}-{self.number}"
+
     def send(self, message: Message) -> None:
         self._stream.send(encode(msgspec.to_builtins(message)))
 
@@ -145,15 +146,13 @@
         try:
             frames = self._frames.feed(data)
         except ValueError as fault:
-            log.error("event=malformed_stream part=%s-%d why=%s", self.role, self.number, fault)
+            log.error("event=malformed_stream part=%s why=%s", self.name, fault)
             self._stream.close()
             return
         for frame in frames:
             try:
                 message = msgspec.convert(frame, Message)
             except msgspec.ValidationError as fault:
-                log.error(
-                    "event=malformed_message part=%s-%d why=%s", self.role, self.number, fault
-                )
+                log.error("event=malformed_message part=%s why=%s", self.name, fault)
                 continue
             self._receive(self, message)
--- a/flaxtally/emulator/part.py
+++ b/flaxtally/emulator/part.py
@@ -81,10 +81,10 @@
     def _count(self) -> None:
         if self.duty is not None:
             at = self.runtime.now()
-            self.send(Counters(self._role, self._number, at, self.duty.totals()))
+            self.send(Counters(at, self.duty.totals()))
 
     def _on_delay(self, delay: LoopDelay) -> None:
-        self.send(LoopLate(self._role, self._number, delay.late))
+        self.send(LoopLate(delay.late))
 
 
 def _duty(loop: CountingLoop, plan: Plan, role: str, number: int, link: Link) -> Duty:
--- a/flaxtally/emulator/processes.py
+++ b/flaxtally/emulator/processes.py
@@ -51,10 +51,6 @@
             )
         self._watched = psutil.Process(self._process.pid)
 
-    @property
-    def running(self) -> bool:
-        return self._process is not None and self._process.poll() is None
-
     def check(self) -> None:
         """Raises `ProcessEnded` if it should run and doesn't."""
         if self._process is not None and self._process.poll() is not None:
@@ -92,10 +88,9 @@
     def __init__(self) -> None:
         self._all: dict[str, Managed] = {}
 
-    def start(self, name: str, arguments: list[str], log: Path) -> Managed:
+    def start(self, name: str, arguments: list[str], log: Path) -> None:
         process = self._all[name] = Managed(name, arguments, log)
         process.start()
-        return process
 
     def __getitem__(self, name: str) -> Managed:
         return self._all[name]
--- a/flaxtally/emulator/results.py
+++ b/flaxtally/emulator/results.py
@@ -22,7 +22,7 @@
 REPORT_ANSWER_S, SUBMISSION_S, STARTED_SHARE = 4.0, 5.0, 0.9
 """Aims: PROTOCOL's time limits of workers and users; of the tasks that are submitted."""
 FULL = 0.7
-"""A resource that is used more than this on average is named as saturated."""
+"""A resource of which more than this is used is named as saturated; of processors, at the peak."""
 USAGE_WINDOW_S = 5.0
 
 
@@ -132,7 +132,7 @@
             takeover_s=self._takeover(),
             ledger_pages=pages[-1].totals["ledger_pages"] if pages else 0.0,
             loop_behind_s=loop_behind,
-            emulator_late_s=max((late.seconds for late in recording.late), default=0.0),
+            emulator_late_s=recording.late_s,
             missed_aims=[],
             saturated="",
             rules_broken=[rule.lines() for rule in broken],
--- a/flaxtally/peers.py
+++ b/flaxtally/peers.py
@@ -197,7 +197,8 @@
 
     def _accept(self, stream: Stream) -> None:
         frames = Frames()
-        sender: list[str] = []
+        speaker: list[tuple[Peers, str]] = []
+        """Once it said who it is: the links that it belongs to, and its name."""
 
         def data(piece: bytes) -> None:
             try:
@@ -207,17 +208,17 @@
                 stream.close()
                 return
             for frame in found:
-                if not sender:
+                if not speaker:
                     node = frame.get("node")
-                    if frame["k"] != "hello" or self._links_of(node) is None:
+                    owner = self._links_of(node) if frame["k"] == "hello" else None
+                    if owner is None:
                         log.warning("a peer did not say who it is")
                         stream.close()
                         return
-                    sender.append(str(node))
+                    speaker.append((owner, str(node)))
                     continue
-                links = self._links_of(sender[0])
-                if links is not None:
-                    links.take(sender[0], frame)
+                links, name = speaker[0]
+                links.take(name, frame)
 
         stream.on_data = data
 
--- a/flaxtally/settings.py
+++ b/flaxtally/settings.py
@@ -192,10 +192,14 @@
 
 def load(path: str) -> Settings:
     """Settings from a file, or `SettingsError`."""
+    return parse(read_toml(path))
+
+
+def read_toml(path: str) -> dict[str, Any]:
+    """What a TOML file holds, or `SettingsError` with its path."""
     try:
-        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as fault:
         raise SettingsError(f"{path}: {fault.strerror or fault}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
         raise SettingsError(f"{path}: {fault}") from None
-    return parse(data)
--- a/tests/test_allotment.py
+++ b/tests/test_allotment.py
@@ -100,7 +100,6 @@
             lambda: ["north", "south"],
             world.teams,
             lambda: {"crew": self.used + self.needed},
-            lambda _: self.used,
             PERIOD_S,
             50.0,
         )
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -165,6 +165,26 @@
     return memory(build) / KB
 
 
+def _replay(jobs: int) -> float:
+    found = records(jobs, True)
+    return seconds(lambda: fill(found))
+
+
+def _decode(tasks: int) -> float:
+    body, decoder = pack(report(tasks)), msgspec.msgpack.Decoder(wire.Report)
+
+    def act() -> None:
+        for _ in range(1000):
+            decoder.decode(body)
+
+    return seconds(act) * 1000
+
+
+def _read(teams: int) -> float:
+    rows = shares(teams)
+    return seconds(lambda: read_shares(rows)) * 1000
+
+
 PLACED_JOBS = TARGET_TASKS // 8
 FIGURES = [
     Figure("ledger: KB of memory, jobs", JOB_SIZES, TARGET_JOBS, _waiting_memory),
@@ -179,12 +199,12 @@
         lambda n: ledger_bytes(n, True) / KB,
     ),
     Figure("ledger: KB of memory, final jobs", JOB_SIZES, TARGET_JOBS, _final_memory),
-    Figure("takeover: s of replay, 8-task jobs", JOB_SIZES, PLACED_JOBS, lambda n: _replay(n)),
+    Figure("takeover: s of replay, 8-task jobs", JOB_SIZES, PLACED_JOBS, _replay),
     Figure("leader: KB of memory, machines", MACHINE_SIZES, TARGET_MACHINES, _machine_memory),
     Figure(
         "worker: bytes of a report, tasks", REPORT_SIZES, 10, lambda n: float(len(pack(report(n))))
     ),
-    Figure("report path: us to decode, tasks", REPORT_SIZES, 10, lambda n: _decode(n)),
+    Figure("report path: us to decode, tasks", REPORT_SIZES, 10, _decode),
     Figure(
         "hashing: us a machine, controllers",
         NODE_SIZES,
@@ -203,32 +223,12 @@
         TARGET_TEAMS,
         lambda n: sum(map(len, shares(n))) / KB,
     ),
-    Figure("shares: ms to decode a read, teams", TEAM_SIZES, TARGET_TEAMS, lambda n: _read(n)),
+    Figure("shares: ms to decode a read, teams", TEAM_SIZES, TARGET_TEAMS, _read),
     Figure("cell map: bytes, cells", CELL_SIZES, TARGET_CELLS, _map_bytes),
     Figure("cell map: ms to check, cells", CELL_SIZES, TARGET_CELLS, _check_map),
 ]
 
 
-def _replay(jobs: int) -> float:
-    found = records(jobs, True)
-    return seconds(lambda: fill(found))
-
-
-def _decode(tasks: int) -> float:
-    body, decoder = pack(report(tasks)), msgspec.msgpack.Decoder(wire.Report)
-
-    def act() -> None:
-        for _ in range(1000):
-            decoder.decode(body)
-
-    return seconds(act) * 1000
-
-
-def _read(teams: int) -> float:
-    rows = shares(teams)
-    return seconds(lambda: read_shares(rows)) * 1000
-
-
 def main() -> None:
     fits = []
     for figure in FIGURES:
