Test: a share that becomes free under an unchanged row is not used while its gift is under way

Need: the limits that are now kept until their row changes could outlast a gift; a planted fault of that kind passed all tests. Measured: with the fault the test fails.

--- a/tests/test_allotment.py
+++ b/tests/test_allotment.py
@@ -177,6 +177,22 @@
     assert world.row().share("south").gpus == given.share("south").gpus, "the late copy did nothing"
 
 
+def test_a_share_that_becomes_free_is_not_used_while_its_gift_is_under_way() -> None:
+    # Another cell has long wanted it: the row is as it was read, only the use here has changed.
+    world = Shares()
+    world.run(3.0)
+    world.north.used = Amount(20.0, 4.0)
+    world.south.needed = Amount(20.0, 8.0)
+    world.run(4.0)
+    assert world.row().wants["south"].gpus == 4.0
+    assert world.north.gpus == 4.0
+    world.state.lost_share, world.state.lost_delay = 1.0, (20.0, 20.0)
+    world.north.used = ZERO
+    world.run(2.5)
+    assert world.row().share("north").gpus == 4.0
+    assert world.north.gpus < 1.0
+
+
 def test_a_leader_gives_nothing_that_it_uses_or_waits_for() -> None:
     world = Shares()
     world.run(3.0)
