--- a/flaxtally/cells/membership.py
+++ b/flaxtally/cells/membership.py
@@ -208,7 +208,7 @@
         if not leader.term.active:
             return CellState(cell, election.able)
         machines = max(1, len(leader.term.fleet.machines))
-        waiting = sum(job.waiting for job in leader.jobs.waiting())
+        waiting = sum(job.waiting for job in leader.jobs.queue.waiting())
         kinds = [
             Kind(kind.name, kind.cores, kind.gpus, kind.ram) for kind in leader.term.kinds.values()
         ]
@@ -220,7 +220,7 @@
         usages = self._leader.book.usage
         found = {team: Amount(usage.cores, usage.gpus) for team, usage in usages.items()}
         if self._leader.term.active:
-            for job in self._leader.jobs.waiting():
+            for job in self._leader.jobs.queue.waiting():
                 spec = job.spec
                 needed = Amount(spec.cores * job.waiting, spec.gpus * job.waiting)
                 found[spec.team] = found.get(spec.team, ZERO) + needed
--- a/flaxtally/consolidate.py
+++ b/flaxtally/consolidate.py
@@ -13,7 +13,8 @@
 from . import wire
 from .fleet import Machine
 from .ledger.book import Job, Placement
-from .placement import GpuNeeds, Stock, choose
+from .machine_index import MachineIndex
+from .placement import GpuNeeds, choose
 
 
 def pick(
@@ -22,7 +23,7 @@
     needs: GpuNeeds,
     sample: int,
     rng: random.Random,
-    zones_without: Callable[[Job, Placement], dict[str, bool]],
+    shut_without: Callable[[Job, Placement], Collection[str]],
     settled: Callable[[Placement], bool],
     beside_arrays: bool,
     moving: Collection[Machine] = (),
@@ -50,16 +51,17 @@
     failed: list[str] = []
     if not candidates:
         return None, failed
-    stock = Stock(machines, kinds, rng)
+    index = MachineIndex.of(machines, kinds, rng)
     claimed: list[tuple[Machine, wire.Spec]] = []
 
     def fits(machine: Machine) -> bool:
         for placed in sorted(replicas(machine), key=lambda placed: -placed.job.spec.cores):
             spec = placed.job.spec
-            found = target(placed, machine, stock, needs, sample, zones_without)
+            found = target(placed, machine, index, needs, sample, shut_without)
             if found is None:
                 return False
             found.claim(spec, 1)
+            index.update(found)
             claimed.append((found, spec))
         return True
 
@@ -74,6 +76,7 @@
             while len(claimed) > held:
                 held_by, spec = claimed.pop()
                 held_by.claim(spec, -1)
+                index.update(held_by)
         return None, failed
     finally:
         for held_by, spec in claimed:
@@ -101,21 +104,21 @@
 def target(
     placed: Placement,
     machine: Machine,
-    stock: Stock,
+    index: MachineIndex,
     needs: GpuNeeds,
     sample: int,
-    zones_without: Callable[[Job, Placement], dict[str, bool]],
+    shut_without: Callable[[Job, Placement], Collection[str]],
 ) -> Machine | None:
     """Where a replica of the machine can move to now."""
     job = placed.job
     return choose(
         job.spec,
         job.no,
-        stock,
+        index,
         needs,
         sample,
-        zones_without(job, placed),
-        lambda other: takes(machine, other, job.spec, stock.kinds),
+        shut_without(job, placed),
+        lambda other: takes(machine, other, job.spec, index.kinds),
     )
 
 
--- a/flaxtally/fill.py
+++ b/flaxtally/fill.py
@@ -11,32 +11,16 @@
 
 import math
 from collections.abc import Hashable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from . import wire
-from .best_effort import NOTHING_DEAR, Dear
-from .forecast import Shape
-from .placement import SLACK, GpuNeeds, allowed
+from .packing import Bin, Demand, Rooms, pack, slots, take
+from .placement import GpuNeeds
 
 HASTE = 2.0
 ALIKE = 1.25
 
 
-@dataclass
-class Bin:
-    """A machine's room at one step of the packing."""
-
-    kind: wire.MachineType
-    zone: str
-    spot: bool
-    cores: float
-    gpus: float
-    ram: float
-    name: str = ""
-    anchored: bool = False
-    """Kept for more than best-effort work."""
-
-
 @dataclass(frozen=True)
 class Pool:
     """Where machines can be asked for."""
@@ -57,42 +41,6 @@
     last: float
 
 
-@dataclass
-class Demand:
-    """Tasks of one shape that need room at a time of the horizon."""
-
-    shape: Shape
-    count: float
-    until: float
-    zones: dict[str, int] = field(default_factory=dict)
-    caps: dict[str, int] | None = None
-    """For jobs that spread: how many more of their tasks each zone may take. None: any number."""
-    typical: bool = False
-    """Stands for its lane in the forecast of arrivals."""
-    dear: Dear = NOTHING_DEAR
-    """Types that best-effort work neither rents nor keeps."""
-
-    def may_use(self, room: Bin) -> bool:
-        """Whether the room counts for this demand."""
-        return allowed(self.shape, room.kind, room.zone, room.spot) and (
-            room.anchored or (room.kind.name, room.spot) not in self.dear
-        )
-
-    def cap(self, zone: str) -> int:
-        return 1_000_000 if self.caps is None else self.caps.get(zone, 0)
-
-    def add(self, count: float, length: float) -> None:
-        """That many tasks more, which run that long."""
-        whole = self.count + count
-        if whole:
-            self.until = (self.until * self.count + length * count) / whole
-        self.count = whole
-
-    def used(self, zone: str, count: int) -> None:
-        if self.caps is not None:
-            self.caps[zone] = self.cap(zone) - count
-
-
 def merged(demands: Iterable[Demand]) -> list[Demand]:
     """Merges demands of nearly the same size; those given are used up.
 
@@ -121,42 +69,6 @@
     return list(found.values())
 
 
-def _slots(shape: Shape, room: Bin, needs: GpuNeeds) -> int:
-    """How many tasks of a shape a bin still takes."""
-    cores, ram = room.cores, room.ram
-    if not shape.gpus and room.kind.gpus:
-        cores -= room.gpus * min(needs.cores, room.kind.cores / room.kind.gpus)
-        ram -= room.gpus * min(needs.ram, room.kind.ram / room.kind.gpus)
-    pairs = ((cores, shape.cores), (room.gpus, shape.gpus), (ram, shape.ram))
-    counts = [(have + SLACK) / want for have, want in pairs if want]
-    return max(0, int(min(counts))) if counts else 1_000_000
-
-
-def _take(shape: Shape, room: Bin, count: int) -> None:
-    room.cores -= shape.cores * count
-    room.gpus -= shape.gpus * count
-    room.ram -= shape.ram * count
-
-
-def pack(demand: Demand, rooms: list[Bin], needs: GpuNeeds) -> int:
-    """Packs the demand into the rooms, which it uses up; gives how many tasks are left over."""
-    left = int(demand.count)
-    shape = demand.shape
-    # Spot machines first for what may use them, plain ones first for what needs no GPU.
-    for room in sorted(
-        (room for room in rooms if demand.may_use(room)),
-        key=lambda room: (shape.spot and not room.spot, bool(room.kind.gpus) and not shape.gpus),
-    ):
-        if left <= 0:
-            break
-        count = min(left, _slots(shape, room, needs), demand.cap(room.zone))
-        if count:
-            _take(shape, room, count)
-            demand.used(room.zone, count)
-            left -= count
-    return left
-
-
 def cheapest(
     demand: Demand,
     count: int,
@@ -179,10 +91,10 @@
     hours = max(demand.until - first, 1.0) / 3600
     for pool in pools:
         kind = kinds[pool.kind]
-        fresh = Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram)
+        fresh = Bin.empty(kind, pool.zone, pool.spot)
         if not demand.may_use(fresh):
             continue
-        served = min(count, _slots(shape, fresh, needs), demand.cap(pool.zone))
+        served = min(count, slots(shape, fresh, needs), demand.cap(pool.zone))
         if not served:
             continue
         price = kind.spot_price * spot_worth if pool.spot else kind.price
@@ -195,7 +107,7 @@
 
 
 def plan(
-    steps: list[tuple[float, list[Demand], list[Bin]]],
+    steps: list[tuple[float, list[Demand], Rooms]],
     kinds: dict[str, wire.MachineType],
     pools: list[Pool],
     needs: GpuNeeds,
@@ -204,31 +116,30 @@
 ) -> list[Rent]:
     """What to rent now.
 
-    `steps`: (time from now, demand, rooms) in order of time; what is rented for one step is room at
-    the later ones. Before the last step, only types that boot in time serve a gap.
+    `steps`: (time from now, demand, rooms) in order of time, which are used up; what is rented for
+    one step is room at the later ones. Before the last step, only types that boot in time serve a
+    gap.
     """
     rents: list[Rent] = []
     joined: list[tuple[Pool, wire.MachineType]] = []
     open_pools = list(pools)
     for number, (at, demands, rooms) in enumerate(steps, 1):
         by = at if number < len(steps) else float("inf")
-        bins = rooms + [
-            Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram)
-            for pool, kind in joined
-        ]
+        for pool, kind in joined:
+            rooms.add(Bin.empty(kind, pool.zone, pool.spot))
         for demand in demands:
-            left = pack(demand, bins, needs)
+            left = pack(demand, rooms, needs)
             while left > 0 and len(rents) < most:
                 found = cheapest(demand, left, at, kinds, open_pools, needs, spot_worth, by)
                 if found is None:
                     break
                 score, pool = found
                 kind = kinds[pool.kind]
-                fresh = Bin(kind, pool.zone, pool.spot, kind.cores, kind.gpus, kind.ram)
-                count = min(left, _slots(demand.shape, fresh, needs), demand.cap(pool.zone))
-                _take(demand.shape, fresh, count)
+                fresh = Bin.empty(kind, pool.zone, pool.spot)
+                count = min(left, slots(demand.shape, fresh, needs), demand.cap(pool.zone))
+                take(demand.shape, fresh, count)
                 demand.used(pool.zone, count)
-                bins.append(fresh)
+                rooms.add(fresh)
                 joined.append((pool, kind))
                 demand.zones[pool.zone] = demand.zones.get(pool.zone, 0) + 1
                 rents.append(Rent(pool, demand.shape.lane, score, at, demand.until))
--- a/flaxtally/fleet.py
+++ b/flaxtally/fleet.py
@@ -15,6 +15,7 @@
     """A machine that the leader knows. `baseline`: it has reported under the present token."""
 
     __slots__ = (
+        "_changed",
         "address",
         "anchors",
         "baseline",
@@ -34,6 +35,7 @@
         "newest_foreign_report",
         "notice_until",
         "orders_failed",
+        "pinned",
         "placements",
         "probes",
         "ram",
@@ -49,8 +51,18 @@
         "zone",
     )
 
-    def __init__(self, name: str, kind: str, zone: str, spot: bool, now: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        kind: str,
+        zone: str,
+        spot: bool,
+        now: float,
+        changed: dict[Machine, None] | None = None,
+    ) -> None:
+        """`changed`: where the machine notes that its room, its images or its use changed."""
         self.name, self.kind, self.zone, self.spot = name, kind, zone, spot
+        self._changed = {} if changed is None else changed
         self.address = ""
         self.server: str | None = None
         self.booting = True
@@ -83,6 +95,12 @@
         self.images: OrderedDict[str, float] = OrderedDict()
         self.placements: dict[tuple[int, int], Placement] = {}
         self.cores = self.gpus = self.ram = 0.0
+        self.pinned = 0.0
+        """How much services take here, as a number that only serves to compare machines."""
+
+    def note_change(self) -> None:
+        """Room, images, or whether it may be used at all: who chooses machines looks at it anew."""
+        self._changed[self] = None
 
     @property
     def deaf(self) -> bool:
@@ -97,17 +115,20 @@
         self.cores += spec.cores * count
         self.gpus += spec.gpus * count
         self.ram += spec.ram * count
+        self.note_change()
 
     def use(self, placement: Placement) -> None:
         key = (placement.job.no, placement.task)
         if key not in self.placements:
             self.claim(placement.job.spec, 1)
             self.anchors += not placement.best_effort
+            self.pinned += _pins(placement.job.spec)
         self.placements[key] = placement
 
     def free(self, placement: Placement, now: float) -> None:
         if self.placements.pop((placement.job.no, placement.task), None) is not None:
             self.claim(placement.job.spec, -1)
+            self.pinned -= _pins(placement.job.spec)
             self.idle_since = now
             if not placement.best_effort:
                 self.anchors -= 1
@@ -115,6 +136,8 @@
 
     def note_image(self, image: str, size: float, cache: float) -> None:
         """Remembers the image as the most recently used; forgets what the cache no longer holds."""
+        if image not in self.images:
+            self.note_change()
         self.images[image] = size
         self.images.move_to_end(image)
         total = sum(self.images.values())
@@ -128,10 +151,12 @@
             if placement.state in ("", wire.FETCHING)
         }
 
-    def pinned(self) -> float:
-        """How much services take here, as a number that only serves to compare machines."""
-        return sum(
-            placement.job.spec.cores + 4 * placement.job.spec.gpus
-            for placement in self.placements.values()
-            if placement.job.spec.kind == wire.SERVICE
-        )
+    def forget_images(self) -> None:
+        """Its session is a new one: what its cache holds is not known."""
+        self.images.clear()
+        self.note_change()
+
+
+def _pins(spec: wire.Spec) -> float:
+    """What a task counts for `Machine.pinned`."""
+    return spec.cores + 4 * spec.gpus if spec.kind == wire.SERVICE else 0.0
--- a/flaxtally/forecast.py
+++ b/flaxtally/forecast.py
@@ -43,6 +43,42 @@
         )
 
 
+class _RecentJobs:
+    """The jobs of one lane that came lately; their sums are kept, since plans ask often."""
+
+    def __init__(self) -> None:
+        self._jobs: deque[tuple[float, int, float]] = deque()
+        """When each came, its tasks, and how long one is estimated to run."""
+        self._tasks = 0
+        self._work = 0.0
+
+    def note(self, now: float, tasks: int, length: float) -> None:
+        """A job came."""
+        self._jobs.append((now, tasks, length))
+        self._tasks += tasks
+        self._work += tasks * length
+
+    def forget(self, before: float) -> None:
+        """Drops the jobs that came before."""
+        while self._jobs and self._jobs[0][0] < before:
+            _, tasks, length = self._jobs.popleft()
+            self._tasks -= tasks
+            self._work -= tasks * length
+        if not self._jobs:
+            # Sums and differences leave a little behind.
+            self._work = 0.0
+
+    @property
+    def largest(self) -> int:
+        """The most tasks of a job."""
+        return max((tasks for _, tasks, _ in self._jobs), default=0)
+
+    @property
+    def mean_length(self) -> float:
+        """How long a task is estimated to run; 0: there are none."""
+        return self._work / max(1, self._tasks)
+
+
 class Arrivals:
     """The past window's arrivals by lane, in buckets of a step.
 
@@ -54,32 +90,29 @@
         self._window, self._step = window, step
         self._buckets: deque[tuple[int, dict[str, float]]] = deque()
         self._first: float | None = None
-        self._jobs: deque[tuple[float, str, int, float]] = deque()
+        self._lanes: dict[str, _RecentJobs] = {}
 
-    def _recent(self, lane: str, now: float) -> list[tuple[int, float]]:
-        """The lane's jobs of the window: tasks, and how long each is estimated to run."""
-        while self._jobs and self._jobs[0][0] < now - self._window:
-            self._jobs.popleft()
-        return [(tasks, length) for _, noted, tasks, length in self._jobs if noted == lane]
+    def _recent(self, lane: str, now: float) -> _RecentJobs:
+        """The lane's jobs of the window."""
+        recent = self._lanes.setdefault(lane, _RecentJobs())
+        recent.forget(now - self._window)
+        return recent
 
     def largest(self, lane: str, now: float) -> int:
         """The most tasks of one job of the lane within the window."""
-        return max((tasks for tasks, _ in self._recent(lane, now)), default=0)
+        return self._recent(lane, now).largest
 
     def length(self, lane: str, now: float) -> float:
         """How long a task of the lane is estimated to run.
 
         The average over the window's tasks; 0: none came.
         """
-        recent = self._recent(lane, now)
-        return sum(tasks * length for tasks, length in recent) / max(
-            1, sum(tasks for tasks, _ in recent)
-        )
+        return self._recent(lane, now).mean_length
 
     def note(self, lane: str, tasks: int, length: float, now: float) -> None:
         if self._first is None:
             self._first = now
-        self._jobs.append((now, lane, tasks, length))
+        self._recent(lane, now).note(now, tasks, length)
         slot = int(now / self._step)
         if not self._buckets or self._buckets[-1][0] != slot:
             self._buckets.append((slot, {}))
--- a/flaxtally/lead/consolidation.py
+++ b/flaxtally/lead/consolidation.py
@@ -5,10 +5,11 @@
 import logging
 from collections.abc import Callable
 
-from .. import consolidate, placement, wire
-from ..fill import Demand
+from .. import consolidate, wire
 from ..fleet import Machine
 from ..ledger.book import Placement
+from ..machine_index import MachineIndex
+from ..packing import Demand
 from .jobs import Jobs
 from .orders import Orders
 from .planner import Planner
@@ -49,7 +50,8 @@
             and now - self.term.began > self.policy.settle
             and self._in_touch(now)
             and not any(
-                wire.RANKS[job.spec.rank] < wire.RANKS["standard"] for job in self.jobs.waiting()
+                wire.RANKS[job.spec.rank] < wire.RANKS["standard"]
+                for job in self.jobs.queue.waiting()
             )
         )
         if not calm:
@@ -64,7 +66,7 @@
             )
 
         self._firm = {name: until for name, until in self._firm.items() if until > now}
-        beside_arrays = all(job.spec.best_effort for job in self.jobs.waiting())
+        beside_arrays = all(job.spec.best_effort for job in self.jobs.queue.waiting())
         kinds = self.term.kinds
         known = [machine for machine in self.fleet.machines.values() if machine.kind in kinds]
         mean = sum(consolidate.hourly(machine, kinds) for machine in known) / max(1, len(known))
@@ -84,7 +86,7 @@
                     self.jobs.needs,
                     self.policy.sample,
                     self.rng,
-                    self.jobs.zones_open,
+                    self.jobs.shut_zones,
                     settled,
                     beside_arrays,
                     moving,
@@ -109,6 +111,7 @@
             )
             self._moving[machine.name] = now
             machine.draining = True
+            machine.note_change()
             self.orders.stop_best_effort(machine)
 
     def _few(self) -> int:
@@ -128,9 +131,9 @@
 
         Once the last one is placed, and while all machines are in touch.
         """
-        stock: placement.Stock | None = None
+        index: MachineIndex | None = None
         waiting = not self._in_touch(now) or any(
-            job.spec.kind == wire.SERVICE for job in self.jobs.waiting()
+            job.spec.kind == wire.SERVICE for job in self.jobs.queue.waiting()
         )
         for name, since in list(self._moving.items()):
             machine = self.fleet.machines.get(name)
@@ -141,13 +144,16 @@
                 log.info("event=empty_given_up term=%d machine=%s", self.term.number, machine.name)
                 del self._moving[name]
                 machine.draining = False
+                machine.note_change()
                 continue
             stopping = any(placed.stopping_at is not None for placed in machine.placements.values())
             if not waiting and not stopping:
-                stock = stock or placement.Stock(self.tracker.usable(), self.term.kinds, self.rng)
-                self._move_one(machine, stock, now)
+                if index is None:
+                    usable = self.tracker.usable()
+                    index = MachineIndex.of(usable, self.term.kinds, self.rng)
+                self._move_one(machine, index, now)
 
-    def _move_one(self, machine: Machine, stock: placement.Stock, now: float) -> None:
+    def _move_one(self, machine: Machine, index: MachineIndex, now: float) -> None:
         """Moves the machine's next replica to where there is room for it now.
 
         Few fetch their image at a time: each of them is away for seconds.
@@ -166,7 +172,7 @@
         if placed is None:
             return
         target = consolidate.target(
-            placed, machine, stock, self.jobs.needs, self.policy.sample, self.jobs.zones_open
+            placed, machine, index, self.jobs.needs, self.policy.sample, self.jobs.shut_zones
         )
         if target is None:
             self._displace(machine)
@@ -184,7 +190,7 @@
             return
         usable = self.tracker.usable()
         with consolidate.without_best_effort(usable):
-            stock = placement.Stock(usable, self.term.kinds, self.rng)
+            index = MachineIndex.of(usable, self.term.kinds, self.rng)
             found = [
                 (placed, other)
                 for placed in consolidate.replicas(machine)
@@ -193,13 +199,13 @@
                     other := consolidate.target(
                         placed,
                         machine,
-                        stock,
+                        index,
                         self.jobs.needs,
                         self.policy.sample,
-                        self.jobs.zones_open,
+                        self.jobs.shut_zones,
                     )
                 )
                 is not None
             ]
         for placed, other in found:
-            self._scheduler.make_room(placed, other)
+            self._scheduler.preemption.make_room_to_move(placed, other)
--- /dev/null
+++ b/flaxtally/lead/demand_forecast.py
@@ -0,0 +1,183 @@
+"""What will need room: waiting tasks by shape, and what is expected to arrive."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import replace
+
+from .. import fill, placement
+from ..best_effort import dear_types
+from ..forecast import Shape
+from ..ledger.book import Job
+from ..machine_index import PoolKey
+from ..packing import Demand
+from .jobs import Jobs
+from .term import Term, TermActor
+
+UNLIMITED = 1e9
+"""Cores or GPUs that a team without a limit may still take."""
+
+
+class DemandForecast(TermActor):
+    """Owns what the plan knows of each lane's running tasks and reserves."""
+
+    def __init__(self, term: Term, jobs: Jobs) -> None:
+        super().__init__(term)
+        self.jobs = jobs
+        # Lanes whose wait aim no new machine can meet: room for their next job must be there before
+        # it.
+        self._reserve = {
+            aim.lane
+            for aim in self.settings.objectives
+            if aim.kind == "wait" and aim.lane is not None and aim.within < self.settings.lease_s
+        }
+        self._running: Counter[str] = Counter()
+        """Placed tasks by lane, as of the last forecast."""
+
+    def demands(self, now: float) -> list[Demand]:
+        """Waiting tasks by shape, in the order in which they would be placed."""
+        self._running = Counter()
+        for job in self.jobs.live.values():
+            self._running[job.spec.lane] += len(job.placed)
+        by_shape: dict[Shape, Demand] = {}
+        self._add_waiting(by_shape)
+        for job in self.jobs.live.values():
+            if job.placed and not job.final and job.spec.best_effort:
+                self._add_running(by_shape, job)
+        self._add_expected(by_shape, now)
+        demands = fill.merged(by_shape.values())
+        self._note_dear_types(demands)
+        self._count_machines(demands)
+        return sorted(demands, key=lambda demand: (demand.shape.rank, -demand.shape.gpus))
+
+    def at(self, demand: Demand, at: float, now: float) -> Demand:
+        """The demand in `at` seconds."""
+        count, lane = demand.count, demand.shape.lane
+        caps = dict(demand.caps) if demand.caps is not None else None
+        if not demand.shape.service:
+            # By then the machines that run such tasks now will have worked off a part of the queue.
+            count = max(0.0, count - self._running[lane] * at / max(demand.until, 1.0))
+        if demand.typical:
+            more = self._expected(demand, at, now)
+            count += more
+            if caps is not None:
+                caps = {zone: cap + math.ceil(more / 2) for zone, cap in caps.items()}
+        return replace(demand, count=count, until=at + demand.until, caps=caps)
+
+    def _expected(self, demand: Demand, at: float, now: float) -> float:
+        """How many tasks of the lane will have come and be there in `at` seconds."""
+        arrivals, lane = self.jobs.arrivals, demand.shape.lane
+        # Not by the last job's own length: one long job made the plan rent for a hundred machines'
+        # work.
+        length = arrivals.length(lane, now) or demand.until
+        more = arrivals.rate(lane, now) * min(at, length)
+        if lane in self._reserve:
+            # Room for the next job, and for what the loss of a few machines would leave without.
+            more += arrivals.largest(lane, now)
+            more += math.ceil(self.policy.slack * self._running[lane])
+        return more
+
+    def _add_waiting(self, by_shape: dict[Shape, Demand]) -> None:
+        headroom: dict[str, tuple[float, float]] = {}
+        for entry in self.jobs.queue.in_order():
+            job = entry.job
+            if not job.waiting or job.no in self.jobs.suspects:
+                continue
+            count = self._within_limit(job, headroom)
+            if count is None:
+                continue
+            demand = self._demand_of(by_shape, job)
+            demand.add(count, self.jobs.run_length(job.spec))
+            if job.spec.spread:
+                self._add_caps(
+                    demand,
+                    {
+                        zone: max(0, job.spec.zone_share - job.zone_count(zone))
+                        for zone in self.settings.zones
+                    },
+                )
+
+    def _within_limit(self, job: Job, headroom: dict[str, tuple[float, float]]) -> int | None:
+        """How many of the job's waiting tasks its team may still run; takes them off `headroom`.
+
+        None: the team is not known.
+        """
+        spec = job.spec
+        team = self.term.limits.of(spec.team)
+        if team is None:
+            return None
+        if spec.team not in headroom:
+            usage = self.ledger.book.usage.get(spec.team)
+            cores, gpus = (usage.cores, usage.gpus) if usage else (0.0, 0.0)
+            headroom[spec.team] = (
+                team.cores_max - cores if team.cores_max else UNLIMITED,
+                team.gpus_max - gpus if team.gpus_max else UNLIMITED,
+            )
+        cores, gpus = headroom[spec.team]
+        count = job.waiting
+        if spec.cores:
+            count = min(count, int(cores / spec.cores + placement.SLACK))
+        if spec.gpus:
+            count = min(count, int(gpus / spec.gpus + placement.SLACK))
+        count = max(0, count)
+        headroom[spec.team] = cores - count * spec.cores, gpus - count * spec.gpus
+        return count
+
+    def _add_running(self, by_shape: dict[Shape, Demand], job: Job) -> None:
+        """Plans best-effort tasks that run like those that wait.
+
+        Their room counts as free, so that they get what all other demand leaves, or cheap machines.
+        """
+        demand = self._demand_of(by_shape, job)
+        demand.add(len(job.placed), self.jobs.run_length(job.spec))
+        if job.spec.spread:
+            zones = self.settings.zones
+            self._add_caps(demand, {zone: job.zone_count(zone) for zone in zones})
+
+    def _add_expected(self, by_shape: dict[Shape, Demand], now: float) -> None:
+        """Shapes of which nothing waits, but more is expected."""
+        arrivals = self.jobs.arrivals
+        for shape, spec in self.jobs.shapes.typical():
+            expected = arrivals.rate(shape.lane, now) > 0 or shape.lane in self._reserve
+            if shape in by_shape or not expected:
+                continue
+            length = arrivals.length(shape.lane, now) or self.jobs.run_length(spec)
+            demand = by_shape[shape] = Demand(shape, 0.0, length, typical=True)
+            if spec.spread:
+                demand.caps = dict.fromkeys(self.settings.zones, 0)
+
+    def _demand_of(self, by_shape: dict[Shape, Demand], job: Job) -> Demand:
+        """The demand that the job's tasks belong to."""
+        shape = job.shape
+        demand = by_shape.get(shape)
+        if demand is None:
+            length = self.jobs.run_length(job.spec)
+            typical = self.jobs.shapes.is_typical(shape)
+            demand = by_shape[shape] = Demand(shape, 0.0, length, typical=typical)
+        return demand
+
+    @staticmethod
+    def _add_caps(demand: Demand, more: dict[str, int]) -> None:
+        caps = demand.caps = demand.caps or {}
+        for zone, count in more.items():
+            caps[zone] = caps.get(zone, 0) + count
+
+    def _note_dear_types(self, demands: list[Demand]) -> None:
+        kinds, needs, most = self.term.kinds, self.jobs.needs, self.policy.best_effort_price
+        for demand in demands:
+            if demand.shape.best_effort:
+                demand.dear = dear_types(demand.shape, kinds, needs, most)
+
+    def _count_machines(self, demands: list[Demand]) -> None:
+        """Counts the machines that each demand may use, by zone."""
+        kinds = self.term.kinds
+        pools = Counter(
+            PoolKey(machine.kind, machine.zone, machine.spot)
+            for machine in self.fleet.machines.values()
+            if machine.kind in kinds
+        )
+        for demand in demands:
+            for (kind, zone, spot), count in pools.items():
+                if placement.allowed(demand.shape, kinds[kind], zone, spot):
+                    demand.zones[zone] = demand.zones.get(zone, 0) + count
--- a/flaxtally/lead/failures.py
+++ b/flaxtally/lead/failures.py
@@ -75,6 +75,7 @@
         machine.faulty_until = None
         machine.draining = machine.notice_until is not None
         machine.errors.clear()
+        machine.note_change()
         self.term.request_pass()
 
     def watch(self) -> None:
@@ -99,6 +100,7 @@
         # beside it.
         rest = min(self.policy.faulty_rest * 2**machine.faults, self.policy.keep_patience)
         machine.draining, machine.faulty_until = True, self.runtime.now() + rest
+        machine.note_change()
         machine.faults += 1
 
     def _clear_of(self, job: Job, record: _Record) -> None:
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -1,4 +1,4 @@
-"""Users' jobs: acceptance, states, cancellations, and the order in which they wait."""
+"""Users' jobs: acceptance, states, cancellations."""
 
 from __future__ import annotations
 
@@ -9,21 +9,19 @@
 import msgspec
 
 from .. import placement, wire
-from ..forecast import Arrivals, Shape
+from ..forecast import Arrivals
 from ..ledger import book as records
 from ..ledger.book import Job, Placement
-from ..urgency import Due, levels
+from .known_shapes import KnownShapes
 from .orders import Orders
 from .term import Term, TermActor
+from .waiting_queue import WaitingQueue
 
 log = logging.getLogger(__name__)
 
+NO_ZONES: frozenset[str] = frozenset()
 Answer = Callable[[int, Any], None]
 MOST_BACKLOG = 2000
-NO_DUE_TIME = 1000
-"""The level of best-effort jobs that nobody expects by any time: after all others."""
-BEGIN_SHARE = 0.7
-"""Of the time within which an aim wants a class to begin: who still waits then goes first."""
 
 
 class Jobs(TermActor):
@@ -34,17 +32,7 @@
         self.orders = orders
         self.live: dict[int, Job] = {}
         self.arrivals = Arrivals(self.policy.plan_horizon, self.policy.plan_step * 2)
-        self.specs: dict[Shape, wire.Spec] = {}
-        self.needs = placement.GpuNeeds()
-        self.beyond: set[int] = set()
-        """Jobs that reach beyond their team's guarantee, as of the last count."""
-        self._waiting: dict[int, Job] = {}
-        """Jobs that may have waiting tasks. A pass over all live jobs cost more than what it was
-        for.
-        """
-        self._claims: dict[str, tuple[float, float]] = {}
-        """What each team's unfinished jobs take together, as of the last count."""
-        self._counted_at = float("-inf")
+        self.shapes = KnownShapes()
         self.backoff: dict[int, float] = {}
         self.suspects: set[int] = set()
         """Jobs that seem to be submitted with a mistake: one of their tasks at a time is tried."""
@@ -52,22 +40,7 @@
         """Who waits to hear that a job is cancelled. Those who wait for too long were answered 503
         by their node.
         """
-        self._levels: dict[int, int] = {}
-        """For which of its due times a waiting job is to be in time, where there is not room for
-        all.
-        """
-        self._begin_within: dict[str, float] = {}
-        self._finish_within: dict[str, list[float]] = {}
-        self._late_times: dict[str, list[float]] = {}
-        for aim in self.settings.objectives:
-            if aim.kind == "deadline" and aim.lane is not None and aim.times != 1.0:
-                self._late_times.setdefault(aim.lane, []).append(aim.times)
-            if aim.kind == "wait" and aim.lane is not None and aim.within:
-                self._begin_within[aim.lane] = min(
-                    aim.within * BEGIN_SHARE, self.policy.begin_latest
-                )
-            if aim.kind == "finished" and aim.lane is not None and aim.within:
-                self._finish_within.setdefault(aim.lane, []).append(aim.within)
+        self.queue = WaitingQueue(term, self.live, self.suspects)
 
     def recall(self) -> None:
         """Takes up what the ledger holds."""
@@ -75,8 +48,8 @@
         for job in self.ledger.book.jobs.values():
             if not job.final or job.placed:
                 self.live[job.no] = job
-                self._waiting[job.no] = job
-                self._note_spec(job)
+                self.queue.recall(job)
+                self.shapes.note(job.shape, job.spec)
             job.waits_since = now
             if job.cancelled:
                 job.cancelled_at = now
@@ -106,9 +79,8 @@
         job = self.ledger.book.jobs[no]
         job.known_at = job.waits_since = now
         self.live[no] = job
-        self._waiting[no] = job
-        self._claim(job)
-        self._note_spec(job)
+        self.queue.add(job)
+        self.shapes.note(job.shape, job.spec)
         self.arrivals.note(spec.lane, spec.tasks, self.run_length(spec), now)
         self.term.request_pass()
 
@@ -223,133 +195,30 @@
             spec.estimate if spec.kind == wire.ARRAY and spec.estimate else self.policy.plan_horizon
         )
 
-    def _note_spec(self, job: Job) -> None:
-        self.specs[job.shape] = job.spec
-        if job.spec.gpus:
-            self.needs = placement.gpu_needs(self.specs.values())
-
-    def waits_again(self, job: Job) -> None:
-        """A task of the job is to be placed anew."""
-        if job.no not in self._waiting:
-            job.waits_since = self.runtime.now()
-        self._waiting[job.no] = job
-
-    def waiting(self) -> list[Job]:
-        """The jobs with waiting tasks, in no order."""
-        over = [no for no, job in self._waiting.items() if not job.waiting]
-        for no in over:
-            del self._waiting[no]
-        return list(self._waiting.values())
-
-    def queue(self) -> list[Job]:
-        """Jobs with waiting tasks, in the order in which they are placed.
-
-        By rank, those within their team's guarantee first, then those that can still be in time,
-        the most pressing of them first, then by age.
-        """
-        waiting = self.waiting()
-        if not waiting:
-            return waiting
-        if self.runtime.now() - self._counted_at > self.policy.retry / 2:
-            self._count_claims()
-            self._choose_levels(waiting)
-        wall = self.runtime.wall()
-        keyed = [
-            (
-                (
-                    wire.RANKS[job.spec.rank],
-                    job.no in self.beyond,
-                    *self.urgency(job, wall),
-                    job.no,
-                ),
-                job,
-            )
-            for job in waiting
-        ]
-        keyed.sort(key=lambda entry: entry[0])
-        return [job for _, job in keyed]
-
-    def _count_claims(self) -> None:
-        """Counts anew who reaches beyond a guarantee; in between only new jobs are added."""
-        self._counted_at = self.runtime.now()
-        self._claims, self.beyond = {}, set()
-        for job in self.live.values():
-            if not job.final:
-                self._claim(job)
-
-    def _claim(self, job: Job) -> None:
-        spec = job.spec
-        cores, gpus = self._claims.get(spec.team, (0.0, 0.0))
-        left = spec.tasks - len(job.done_tasks)
-        self._claims[spec.team] = cores, gpus = cores + spec.cores * left, gpus + spec.gpus * left
-        team = self.term.limits.of(spec.team)
-        # A team without any guarantee is beyond it with its first task.
-        if (
-            team is None
-            or not (team.cores or team.gpus)
-            or (team.cores and cores > team.cores)
-            or (team.gpus and gpus > team.gpus)
-        ):
-            self.beyond.add(job.no)
-
-    def urgency(self, job: Job, wall: float) -> tuple[int, float]:
-        """The due time that the job is to meet, and when it must start for that."""
-        spec = job.spec
-        begin_within = self._begin_within.get(spec.lane, self.policy.begin_latest)
-        may_wait = spec.kind == wire.SERVICE or (spec.best_effort and job.begun)
-        if wall - job.at > begin_within and not may_wait:
-            # Those left out for being large must begin all the same.
-            return -1, job.at
-        latest = self._latest(job)
-        if spec.best_effort and not latest:
-            return NO_DUE_TIME, job.at
-        level = max(sum(wall > time for time in latest), self._levels.get(job.no, 0))
-        return (level, latest[level]) if level < len(latest) else (len(latest), 0.0)
-
-    def _latest(self, job: Job) -> tuple[float, ...]:
-        """By when its tasks must start for each of its due times."""
-        spec = job.spec
-        dues = list(self._finish_within.get(spec.lane, ()))
-        if spec.deadline is not None:
-            dues.append(spec.deadline)
-            # A deadline that is lost may leave a multiple of it to be kept.
-            dues += [spec.deadline * times for times in self._late_times.get(spec.lane, ())]
-        return tuple(job.at + due - spec.estimate for due in sorted(dues))
-
-    def _choose_levels(self, waiting: list[Job]) -> None:
-        """Chooses which waiting jobs are to be in time.
-
-        Each class by what its running tasks can work off.
-        """
-        lanes: dict[str, list[Due]] = {}
-        for job in waiting:
-            if job.spec.kind != wire.SERVICE and job.no not in self.suspects:
-                due = Due(job.no, self._latest(job), job.waiting * job.spec.estimate)
-                lanes.setdefault(job.spec.lane, []).append(due)
-        running: dict[str, int] = {}
-        for job in self.live.values():
-            running[job.spec.lane] = running.get(job.spec.lane, 0) + len(job.placed)
-        self._levels = {}
-        for lane, dues in lanes.items():
-            self._levels |= levels(dues, self.runtime.wall(), max(1, running.get(lane, 0)))
+    @property
+    def needs(self) -> placement.GpuNeeds:
+        """What GPU tasks need beside their GPUs."""
+        return self.shapes.gpu_needs
 
-    def zones_open(self, job: Job, leaving: Placement | None = None) -> dict[str, bool]:
-        """Zones that the job's placements keep open or shut.
+    def shut_zones(self, job: Job, leaving: Placement | None = None) -> frozenset[str]:
+        """The zones in which none of the job's tasks may be placed now.
 
-        `leaving` is not counted. Zones that are not named are open.
+        `leaving`: a placement that is not counted.
         """
         spec = job.spec
-        if spec.one_zone and job.placed:
-            taken = {placed.zone for placed in job.placed.values()}
-            return {zone: taken == {zone} for zone in self.fleet.zones}
-        if spec.spread:
-            left = leaving.zone if leaving else None
-            return {
-                zone: False
-                for zone in self.fleet.zones
-                if job.zone_count(zone) - (zone == left) >= spec.zone_share
-            }
-        return {}
+        if not job.placed:
+            return NO_ZONES
+        if spec.one_zone:
+            taken = job.zone_counts.keys()
+            return frozenset(zone for zone in self.fleet.zones if taken != {zone})
+        if not spec.spread:
+            return NO_ZONES
+        left = leaving.zone if leaving else None
+        return frozenset(
+            zone
+            for zone, count in job.zone_counts.items()
+            if count - (zone == left) >= spec.zone_share
+        )
 
     def within_limit(self, spec: wire.Spec, count: int = 1) -> bool:
         team, usage = self.term.limits.of(spec.team), self.ledger.book.usage.get(spec.team)
--- a/flaxtally/lead/orders.py
+++ b/flaxtally/lead/orders.py
@@ -120,6 +120,8 @@
             if status in (200, 409):
                 for placed in launched:
                     placed.open -= 1
+                if machine.deaf:
+                    machine.note_change()
                 machine.orders_failed = 0
                 self.answered(server, body)
             elif pauses == self.term.pauses:
--- /dev/null
+++ b/flaxtally/lead/preemption.py
@@ -0,0 +1,192 @@
+"""Who is stopped to make room for whom."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Collection, Hashable
+
+from .. import placement, wire
+from ..fleet import Machine
+from ..ledger.book import Job, Placement
+from ..machine_index import MachineIndex
+from .claims import Claim, Claims, TaskKey
+from .jobs import Jobs
+from .orders import Orders
+from .term import Term, TermActor
+
+log = logging.getLogger(__name__)
+
+
+class Preemption(TermActor):
+    """Owns the claims on room for which others were stopped."""
+
+    def __init__(self, term: Term, jobs: Jobs, orders: Orders) -> None:
+        super().__init__(term)
+        self.jobs, self.orders = jobs, orders
+        self._claims = Claims()
+        self._preempted: dict[TaskKey, float] = {}
+        """Tasks for which others were stopped, and until when their room is kept."""
+        self._nobody = placement.Exhausted()
+        """Who found nobody to stop, until `_nobody_until`."""
+        self._nobody_until = 0.0
+
+    def begin_pass(self) -> set[str]:
+        """Forgets what is no longer true; returns the machines on which claims ended."""
+        now = self.runtime.now()
+        if now >= self._nobody_until:
+            self._nobody, self._nobody_until = placement.Exhausted(), now + self.policy.retry
+        return self._claims.expire(now, self.ledger.book)
+
+    def unclaimed_by(self, rank: int) -> Callable[[Machine], bool] | None:
+        """Whether a machine's room is not kept for somebody more important; None: nothing is."""
+        return self._claims.unclaimed_by(rank) if self._claims else None
+
+    def placed(self, key: TaskKey) -> None:
+        """The task is placed: its claim is made good."""
+        self._claims.made_good(key)
+
+    def found_nobody(self, kin: Hashable, spec: wire.Spec) -> bool:
+        """Whether the job's like found nobody to stop a short while ago."""
+        return self._nobody.covers(kin, spec)
+
+    def make_room(
+        self, job: Job, kin: Hashable, index: MachineIndex, shut: Collection[str]
+    ) -> bool:
+        """Makes room for a task by stopping tasks of lower rank.
+
+        Where, of a sample, the least work is lost.
+
+        The machine is kept for that rank until the stopped tasks are proven gone. False: there is
+        nobody to stop, for this job and its like.
+        """
+        now, spec, rank = self.runtime.now(), job.spec, wire.RANKS[job.spec.rank]
+        key = (job.no, job.next_task())
+        entitled = job.no not in self.jobs.queue.beyond
+        if rank == wire.RANKS["idle"] and not entitled:
+            self._nobody.add(kin, spec)
+            return False
+        if self._preempted.get(key, 0.0) > now:
+            return True
+        best = self._least_loss(job, index, shut, entitled, now)
+        if best is None:
+            self._nobody.add(kin, spec)
+            return False
+        loss, machine, victims = best
+        self._preempted = {key: until for key, until in self._preempted.items() if until > now}
+        self._preempted[key] = self._evict(key, spec, machine, victims, moving=False)
+        log.debug(
+            "event=preempt term=%d job=%s machine=%s stopped=%d loss=%.0f",
+            self.term.number,
+            spec.ref,
+            machine.name,
+            len(victims),
+            loss,
+        )
+        return True
+
+    def make_room_to_move(self, placed: Placement, machine: Machine) -> None:
+        """Stops best-effort tasks on the machine so that a replica can move there."""
+        key = placed.job.no, placed.task
+        if self._claims.has(key):
+            return
+        kind, now = self.term.kinds[machine.kind], self.runtime.now()
+        victims = self._victims(placed.job, machine, kind, False, now)
+        if victims and all(victim.best_effort for victim in victims):
+            self._evict(key, placed.job.spec, machine, victims, moving=True)
+
+    def _least_loss(
+        self,
+        job: Job,
+        index: MachineIndex,
+        shut: Collection[str],
+        entitled: bool,
+        now: float,
+    ) -> tuple[float, Machine, list[Placement]] | None:
+        best: tuple[float, Machine, list[Placement]] | None = None
+        found = 0
+        for seen, (machine, kind) in enumerate(index.walk(job.spec, shut)):
+            if seen >= placement.WIDEN**2 * self.policy.sample:
+                # Another part of the fleet is looked at the next time.
+                break
+            victims = self._victims(job, machine, kind, entitled, now)
+            if not victims:
+                continue
+            loss = sum(self._loss(placed, now) for placed in victims)
+            if best is None or loss < best[0]:
+                best = loss, machine, victims
+            found += 1
+            if found >= self.policy.sample:
+                break
+        return best
+
+    def _evict(
+        self,
+        key: TaskKey,
+        spec: wire.Spec,
+        machine: Machine,
+        victims: list[Placement],
+        moving: bool,
+    ) -> float:
+        """Stops the tasks and keeps their room for another; returns until when."""
+        now = self.runtime.now()
+        until = now + 2 * self.policy.order_call + max(placed.job.spec.save for placed in victims)
+        rank = wire.RANKS[spec.rank]
+        self._claims.add(machine.name, key, Claim(rank, until, spec, moving))
+        for placed in victims:
+            if placed.stopping_at is None:
+                self.orders.stop(placed, placed.job.spec.save)
+        return until
+
+    def _victims(
+        self, job: Job, machine: Machine, kind: wire.MachineType, entitled: bool, now: float
+    ) -> list[Placement]:
+        """The tasks whose stop makes room for one of the job.
+
+        Those that lose least first; none: it can't be done there.
+        """
+        spec = job.spec
+        lower = [
+            placed
+            for placed in machine.placements.values()
+            if placed.seen and self._gives_way(placed, spec, entitled, now)
+        ]
+        if not lower:
+            return []
+        lower.sort(key=lambda placed: self._loss(placed, now))
+        left, victims = self._unclaimed_room(machine, kind), list[Placement]()
+        for placed in lower:
+            if left.holds(spec):
+                break
+            left = left.plus(placed.job.spec)
+            victims.append(placed)
+        fits = left.holds(spec) and placement.leaves_gpus_usable(spec, left, kind, self.jobs.needs)
+        return victims if fits else []
+
+    def _gives_way(self, placed: Placement, spec: wire.Spec, entitled: bool, now: float) -> bool:
+        """Whether the task may be stopped for one of the job.
+
+        Those of lower rank may; and a team's guarantee goes before what another team runs beyond
+        its own, of which little may be lost.
+        """
+        other = placed.job.spec
+        return wire.RANKS[other.rank] > wire.RANKS[spec.rank] or (
+            entitled
+            and placed.job.no in self.jobs.queue.beyond
+            and other.team != spec.team
+            and other.kind != wire.SERVICE
+            and self._loss(placed, now) < self.policy.settle
+        )
+
+    def _unclaimed_room(self, machine: Machine, kind: wire.MachineType) -> placement.Room:
+        """What is left there: what is being stopped for another task can't make room twice."""
+        left = placement.room(machine, kind)
+        for claim in self._claims.on(machine.name):
+            left = left.minus(claim.spec)
+        return left
+
+    @staticmethod
+    def _loss(placed: Placement, now: float) -> float:
+        """Seconds of work that a stop throws away."""
+        if placed.stopping_at is not None or placed.ran_at is None:
+            return 0.0
+        return placed.job.spec.save if placed.job.spec.checkpoint else now - placed.ran_at
--- /dev/null
+++ b/flaxtally/lead/room_forecast.py
@@ -0,0 +1,101 @@
+"""What room there will be: free now, freed by tasks that end, and machines that boot."""
+
+from __future__ import annotations
+
+import math
+
+from .. import placement, wire
+from ..fleet import Machine
+from ..ledger.book import Placement
+from ..packing import Bin, Rooms
+from .rentals import Rentals
+from .term import Term, TermActor
+
+
+class RoomForecast(TermActor):
+    """Reckons the room of the plan's steps."""
+
+    def __init__(self, term: Term, rentals: Rentals) -> None:
+        super().__init__(term)
+        self._rentals = rentals
+
+    @property
+    def steps(self) -> tuple[float, float]:
+        """The times ahead that the plan looks at, in seconds."""
+        return self.policy.plan_lead / 2, self.policy.plan_lead
+
+    def rooms(self, now: float) -> list[list[Bin]]:
+        """The room of machines that serve at each step.
+
+        Free now, or freed by tasks estimated to end. Machines that can't be up by then count at the
+        last step only.
+        """
+        steps = self.steps
+        found: list[list[Bin]] = [[] for _ in steps]
+        for machine in self.fleet.machines.values():
+            kind = self.term.kinds.get(machine.kind)
+            if kind is None or not self._will_serve(machine, kind, now):
+                continue
+            bins = self._bins(machine, kind, now)
+            booting = kind.boot - (now - machine.rented_at) if machine.booting else -math.inf
+            for number, (at, room) in enumerate(zip(steps, bins, strict=True)):
+                if booting <= at or number == len(steps) - 1:
+                    found[number].append(room)
+        for pool, count in self._rentals.pending():
+            kind = self.term.kinds[pool.kind]
+            for number, at in enumerate(steps):
+                if kind.boot <= at or number == len(steps) - 1:
+                    found[number] += [Bin.empty(kind, pool.zone, pool.spot) for _ in range(count)]
+        return found
+
+    def rooms_to_pack(self, now: float) -> list[Rooms]:
+        """The same, to be packed and used up."""
+        return [Rooms(bins) for bins in self.rooms(now)]
+
+    def _will_serve(self, machine: Machine, kind: wire.MachineType, now: float) -> bool:
+        if machine.draining or machine.releasing or machine.slow or machine.deaf:
+            return False
+        if machine.booting:
+            return now - machine.rented_at <= 2 * kind.boot
+        return now - machine.heard_at <= self.policy.machine_suspect
+
+    def _bins(self, machine: Machine, kind: wire.MachineType, now: float) -> list[Bin]:
+        """The machine's room at each step."""
+        left = placement.room(machine, kind)
+        anchored = machine.anchors > 0
+        bins = [
+            Bin(
+                kind,
+                machine.zone,
+                machine.spot,
+                left.cores,
+                left.gpus,
+                left.ram,
+                machine.name,
+                anchored,
+            )
+            for _ in self.steps
+        ]
+        for placed in machine.placements.values():
+            ends = self._ends_in(placed, now)
+            if ends == math.inf:
+                continue
+            spec = placed.job.spec
+            for at, room in zip(self.steps, bins, strict=True):
+                if ends < at:
+                    room.cores += spec.cores
+                    room.gpus += spec.gpus
+                    room.ram += spec.ram
+        return bins
+
+    @staticmethod
+    def _ends_in(placed: Placement, now: float) -> float:
+        """Seconds until the plan counts the task's room as free."""
+        spec = placed.job.spec
+        if spec.kind != wire.ARRAY:
+            return math.inf
+        if spec.best_effort:
+            return -math.inf
+        if spec.estimate <= 0:
+            return math.inf
+        return spec.estimate - (now - placed.ran_at if placed.ran_at is not None else 0.0)
--- /dev/null
+++ b/flaxtally/lead/scheduling_pass.py
@@ -0,0 +1,169 @@
+"""One pass over the waiting jobs: what can be placed is placed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable
+from typing import TYPE_CHECKING, NamedTuple
+
+from .. import placement, wire
+from ..best_effort import dear_types
+from ..fleet import Machine
+from ..ledger.book import Job
+from ..machine_index import MachineIndex
+from .waiting_queue import WaitingJob
+
+if TYPE_CHECKING:
+    from .scheduler import Scheduler
+
+MOST_PLACED = 400
+"""Tasks a pass: one large array on an idle fleet must not hold up reports and users."""
+
+Keep = Callable[[Machine], bool]
+
+
+class _Search(NamedTuple):
+    """Whom a search speaks for: those who may use the same machines, and ask for no less."""
+
+    like: Hashable
+    overdue: bool
+    """It has waited for long and takes any room: that of slow machines, and what is kept for GPU
+    tasks.
+    """
+
+
+class SchedulingPass:
+    """Places tasks in the queue's order. Within a pass room only shrinks.
+
+    `grown`: the machines that have more room than in the last pass. Who found no room before
+    (`full`) looks only there.
+    """
+
+    def __init__(
+        self, scheduler: Scheduler, index: MachineIndex, grown: MachineIndex, now: float
+    ) -> None:
+        self._scheduler, self._now = scheduler, now
+        self._jobs, self._preemption = scheduler.jobs, scheduler.preemption
+        self._policy, self._term = scheduler.policy, scheduler.term
+        self._index, self._grown = index, grown
+        self._has_grown = any(True for _ in grown.machines)
+        self.unfit = placement.Exhausted()
+        """Who found no room in this pass: their like needn't look."""
+        self._worth: dict[int, Keep] = {}
+        """By job, whether best-effort work may use a machine."""
+        self._asked: set[Hashable] = set()
+        """Shapes of batch work for which others were stopped in this pass."""
+        self.placed = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the pass has placed as many tasks as one may."""
+        return self.placed >= MOST_PLACED
+
+    def run(self, queue: list[WaitingJob], full: placement.Exhausted) -> placement.Exhausted:
+        """Places what it can; returns who is known to find no room from here on."""
+        hopeless: set[Hashable] = set()
+        backoff = self._jobs.backoff
+        for _, job, alike in list(queue):
+            if self.is_full:
+                break
+            kin = alike, self._jobs.shut_zones(job)
+            if kin in hopeless and not self._scheduler.has_hint(job):
+                continue
+            if not job.waiting or backoff.get(job.no, 0.0) > self._now:
+                continue
+            if not self._place_tasks(job, full) and alike is not None:
+                # As it is now: some of its tasks may have been placed.
+                hopeless.add((alike, self._jobs.shut_zones(job)))
+        # Who did not look this time has not seen what grew.
+        return self.unfit if self._has_grown else full
+
+    def _place_tasks(self, job: Job, full: placement.Exhausted) -> bool:
+        """Places the job's waiting tasks; False: there is no room for one, nor for its like."""
+        suspect = job.no in self._jobs.suspects
+        if suspect and job.placed:
+            return True
+        spec = job.spec
+        if spec.kind == wire.GANG and not job.placed:
+            self._scheduler.place_gang(job, self._index, self)
+            return True
+        keep = self._preemption.unclaimed_by(wire.RANKS[spec.rank])
+        while job.waiting and not self.is_full:
+            if not self._jobs.within_limit(spec):
+                return False
+            shut = self._jobs.shut_zones(job)
+            machine = self._scheduler.hinted(job, shut, keep)
+            search = self._search(job, shut)
+            if machine is None and not self.unfit.covers(search, spec):
+                machine = self._choose(job, shut, search, full, keep)
+            if machine is None:
+                if suspect:
+                    # Nobody is stopped for what will likely fail.
+                    return True
+                self._preempt(job, shut, search)
+                return False
+            self._scheduler.place(job, machine)
+            self.placed += 1
+            if suspect:
+                return True
+        return True
+
+    def _search(self, job: Job, shut: frozenset[str]) -> _Search:
+        spec = job.spec
+        like = (
+            spec.types,
+            spec.zone,
+            spec.spot,
+            spec.kind,
+            wire.RANKS[spec.rank],
+            bool(spec.gpus),
+            shut,
+        )
+        return _Search(like, self._now - job.waits_since > self._policy.keep_patience)
+
+    def _choose(
+        self,
+        job: Job,
+        shut: frozenset[str],
+        search: _Search,
+        full: placement.Exhausted,
+        keep: Keep | None,
+    ) -> Machine | None:
+        spec = job.spec
+        known = full.covers(search, spec)
+        needs = None if search.overdue else self._jobs.needs
+        accept = keep
+        if spec.best_effort and not search.overdue:
+            if job.no not in self._worth:
+                self._worth[job.no] = self._worth_using(spec, keep)
+            accept = self._worth[job.no]
+        where = self._grown if known else self._index
+        machine = placement.choose(spec, job.no, where, needs, self._policy.sample, shut, accept)
+        if machine is None:
+            self.unfit.add(search, spec)
+            if not (known or self._has_grown):
+                full.add(search, spec)
+        return machine
+
+    def _worth_using(self, spec: wire.Spec, keep: Keep | None) -> Keep:
+        """Whether best-effort work may use a machine: not a dear one that nothing else is on."""
+        dear = dear_types(spec, self._term.kinds, self._jobs.needs, self._policy.best_effort_price)
+
+        def worth(machine: Machine) -> bool:
+            if not machine.anchors and (machine.kind, machine.spot) in dear:
+                return False
+            return keep is None or keep(machine)
+
+        return worth
+
+    def _preempt(self, job: Job, shut: frozenset[str], search: _Search) -> None:
+        """Stops others for the job's next task, where that is due.
+
+        Batch work stops others for one task of a shape at a time. For services, who may be stopped
+        depends on the team too, while they are within its guarantee.
+        """
+        spec = job.spec
+        kin = search.like, spec.team if job.no not in self._jobs.queue.beyond else None
+        if self._preemption.found_nobody(kin, spec) or (job.shape, kin) in self._asked:
+            return
+        if self._preemption.make_room(job, kin, self._index, shut) and not spec.spread:
+            self._asked.add((job.shape, kin))
--- a/flaxtally/lead/stragglers.py
+++ b/flaxtally/lead/stragglers.py
@@ -120,6 +120,7 @@
         )
         self._slow[machine.name] = self.runtime.now() + self.policy.slow_rest
         machine.slow = True
+        machine.note_change()
         for other in machine.placements.values():
             spec = other.job.spec
             saves = spec.kind == wire.ARRAY and spec.checkpoint and other.state == wire.RUNNING
@@ -132,3 +133,4 @@
         machine = self.fleet.machines.get(name)
         if machine is not None:
             machine.slow = False
+            machine.note_change()
--- a/flaxtally/lead/term.py
+++ b/flaxtally/lead/term.py
@@ -23,12 +23,15 @@
         self._runtime, self._ledger = runtime, ledger
         self.machines: dict[str, Machine] = {}
         self.gone: set[str] = set()
+        self.changed: dict[Machine, None] = {}
+        """Those whose room, images or use changed since the scheduler took this up."""
         self.zones = set(zones)
 
     def adopt(self, name: str, kind: str, zone: str, spot: bool) -> Machine:
         machine = self.machines.get(name)
         if machine is None:
-            machine = self.machines[name] = Machine(name, kind, zone, spot, self._runtime.now())
+            now = self._runtime.now()
+            machine = self.machines[name] = Machine(name, kind, zone, spot, now, self.changed)
             self.zones.add(zone)
             for placed in self._ledger.book.on_machine.get(name, {}).values():
                 machine.use(placed)
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -65,6 +65,8 @@
             self.term.request_pass()
         machine.address, machine.server = report.address, server
         if not (machine.baseline and report.token < self.term.number):
+            if now - machine.heard_at >= self.policy.machine_suspect:
+                machine.note_change()
             machine.heard_at = max(machine.heard_at, now)
         machine.failed_probes = 0
         if report.token != self.term.number:
@@ -72,10 +74,11 @@
             machine.session = max(machine.session, report.session)
             return
         if report.session > machine.session:
-            machine.images.clear()
+            machine.forget_images()
         machine.session, machine.sequence = report.session, report.sequence
         if not machine.baseline:
             machine.baseline = True
+            machine.note_change()
             self.term.request_pass()
         if report.notice is not None and machine.notice_until is None:
             self._noticed(machine, report.notice)
@@ -201,7 +204,7 @@
             self.jobs.live.pop(job.no, None)
             self.failures.forget(job)
         elif not done:
-            self.jobs.waits_again(job)
+            self.jobs.queue.waits_again(job)
         self.term.request_pass()
 
     def _noticed(self, machine: Machine, notice: float) -> None:
@@ -209,6 +212,7 @@
         now = self.runtime.now()
         machine.notice_until = now + notice
         machine.draining = True
+        machine.note_change()
         log.info(
             "event=notice term=%d machine=%s in=%.1f tasks=%d",
             self.term.number,
@@ -362,6 +366,7 @@
             why,
         )
         machine.releasing = True
+        machine.note_change()
 
     def flush_releases(self) -> None:
         now = self.runtime.now()
--- /dev/null
+++ b/flaxtally/lead/waiting_queue.py
@@ -0,0 +1,218 @@
+"""The order in which waiting jobs are placed."""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections.abc import Hashable
+from typing import NamedTuple
+
+from .. import wire
+from ..ledger.book import Job
+from ..urgency import Due, levels
+from .term import Term, TermActor
+
+NO_DUE_TIME = 1000
+"""The level of best-effort jobs that nobody expects by any time: after all others."""
+BEGIN_SHARE = 0.7
+"""Of the time within which an aim wants a class to begin: who still waits then goes first."""
+
+Key = tuple[int, bool, int, float, int]
+"""Rank, whether beyond the team's guarantee, due time to be met, latest start for it, number."""
+
+
+class WaitingJob(NamedTuple):
+    """A job in its place in the queue."""
+
+    key: Key
+    job: Job
+    alike: int | None
+    """Equal for jobs of which none finds room where another found none, if they may use the same
+    zones; None: it is like no other.
+    """
+
+
+class WaitingQueue(TermActor):
+    """Owns the jobs that may have waiting tasks, and who reaches beyond a guarantee.
+
+    The order is reckoned anew every other retry; in between new jobs are put in their places.
+    """
+
+    def __init__(self, term: Term, live: dict[int, Job], suspects: set[int]) -> None:
+        """`live`: the jobs that are not over; `suspects`: those likely submitted with a mistake."""
+        super().__init__(term)
+        self._live, self._suspects = live, suspects
+        self.beyond: set[int] = set()
+        """Jobs that reach beyond their team's guarantee, as of the last count."""
+        self._waiting: dict[int, Job] = {}
+        """Jobs that may have waiting tasks. A pass over all live jobs cost more than what it was
+        for.
+        """
+        self._order: list[WaitingJob] = []
+        self._ordered: set[int] = set()
+        self._ordered_at = float("-inf")
+        self._alike_numbers: dict[Hashable, int] = {}
+        self._demand: dict[str, tuple[float, float]] = {}
+        """What each team's unfinished jobs take together, as of the last count."""
+        self._levels: dict[int, int] = {}
+        """For which of its due times a waiting job is to be in time, where there is not room for
+        all.
+        """
+        self._begin_within: dict[str, float] = {}
+        self._finish_within: dict[str, list[float]] = {}
+        self._late_times: dict[str, list[float]] = {}
+        for aim in self.settings.objectives:
+            if aim.kind == "deadline" and aim.lane is not None and aim.times != 1.0:
+                self._late_times.setdefault(aim.lane, []).append(aim.times)
+            if aim.kind == "wait" and aim.lane is not None and aim.within:
+                self._begin_within[aim.lane] = min(
+                    aim.within * BEGIN_SHARE, self.policy.begin_latest
+                )
+            if aim.kind == "finished" and aim.lane is not None and aim.within:
+                self._finish_within.setdefault(aim.lane, []).append(aim.within)
+
+    # Who waits
+
+    def recall(self, job: Job) -> None:
+        """A job that an earlier term accepted."""
+        self._waiting[job.no] = job
+
+    def add(self, job: Job) -> None:
+        """A new job."""
+        self._waiting[job.no] = job
+        self._count_demand(job)
+        self._put_in_order(job)
+
+    def waits_again(self, job: Job) -> None:
+        """A task of the job is to be placed anew."""
+        if job.no not in self._waiting:
+            job.waits_since = self.runtime.now()
+        self._waiting[job.no] = job
+        self._put_in_order(job)
+
+    def waiting(self) -> list[Job]:
+        """The jobs with waiting tasks, in no order."""
+        over = [no for no, job in self._waiting.items() if not job.waiting]
+        for no in over:
+            del self._waiting[no]
+        return list(self._waiting.values())
+
+    # Their order
+
+    def in_order(self) -> list[WaitingJob]:
+        """Jobs in the order in which they are placed; some may have no waiting tasks any more.
+
+        By rank, those within their team's guarantee first, then those that can still be in time,
+        the most pressing of them first, then by age.
+        """
+        if self.runtime.now() - self._ordered_at > self.policy.retry / 2:
+            self._order_anew(self.waiting())
+        return self._order
+
+    def _order_anew(self, waiting: list[Job]) -> None:
+        self._alike_numbers.clear()
+        self._ordered = {job.no for job in waiting}
+        if not waiting:
+            # Whoever comes next is counted anew.
+            self._order = []
+            return
+        self._ordered_at = self.runtime.now()
+        self._count_all_demand()
+        self._choose_levels(waiting)
+        self._order = sorted(self._entry(job) for job in waiting)
+
+    def _put_in_order(self, job: Job) -> None:
+        if job.no not in self._ordered:
+            self._ordered.add(job.no)
+            insort(self._order, self._entry(job))
+
+    def _entry(self, job: Job) -> WaitingJob:
+        level, latest = self.urgency(job, self.runtime.wall())
+        beyond = job.no in self.beyond
+        key = wire.RANKS[job.spec.rank], beyond, level, latest, job.no
+        return WaitingJob(key, job, self._alike(job, beyond, self.runtime.now()))
+
+    def _alike(self, job: Job, beyond: bool, now: float) -> int | None:
+        """A number for what decides whether a task finds room, or somebody to stop for it."""
+        spec = job.spec
+        if spec.kind == wire.GANG or job.no in self._suspects:
+            return None
+        overdue = now - job.waits_since > self.policy.keep_patience
+        size = spec.cores, spec.gpus, spec.ram
+        where = spec.types, spec.zone, spec.spot
+        alike = (
+            spec.kind,
+            spec.rank,
+            spec.team,
+            size,
+            where,
+            spec.spread,
+            beyond,
+            overdue,
+            job.shape,
+        )
+        return self._alike_numbers.setdefault(alike, len(self._alike_numbers))
+
+    def _count_all_demand(self) -> None:
+        """Counts anew who reaches beyond a guarantee; in between only new jobs are added."""
+        self._demand, self.beyond = {}, set()
+        for job in self._live.values():
+            if not job.final:
+                self._count_demand(job)
+
+    def _count_demand(self, job: Job) -> None:
+        spec = job.spec
+        cores, gpus = self._demand.get(spec.team, (0.0, 0.0))
+        left = spec.tasks - len(job.done_tasks)
+        self._demand[spec.team] = cores, gpus = cores + spec.cores * left, gpus + spec.gpus * left
+        team = self.term.limits.of(spec.team)
+        # A team without any guarantee is beyond it with its first task.
+        if (
+            team is None
+            or not (team.cores or team.gpus)
+            or (team.cores and cores > team.cores)
+            or (team.gpus and gpus > team.gpus)
+        ):
+            self.beyond.add(job.no)
+
+    # Due times
+
+    def urgency(self, job: Job, wall: float) -> tuple[int, float]:
+        """The due time that the job is to meet, and when it must start for that."""
+        spec = job.spec
+        begin_within = self._begin_within.get(spec.lane, self.policy.begin_latest)
+        may_wait = spec.kind == wire.SERVICE or (spec.best_effort and job.begun)
+        if wall - job.at > begin_within and not may_wait:
+            # Those left out for being large must begin all the same.
+            return -1, job.at
+        latest = self._latest(job)
+        if spec.best_effort and not latest:
+            return NO_DUE_TIME, job.at
+        level = max(sum(wall > time for time in latest), self._levels.get(job.no, 0))
+        return (level, latest[level]) if level < len(latest) else (len(latest), 0.0)
+
+    def _latest(self, job: Job) -> tuple[float, ...]:
+        """By when its tasks must start for each of its due times."""
+        spec = job.spec
+        dues = list(self._finish_within.get(spec.lane, ()))
+        if spec.deadline is not None:
+            dues.append(spec.deadline)
+            # A deadline that is lost may leave a multiple of it to be kept.
+            dues += [spec.deadline * times for times in self._late_times.get(spec.lane, ())]
+        return tuple(job.at + due - spec.estimate for due in sorted(dues))
+
+    def _choose_levels(self, waiting: list[Job]) -> None:
+        """Chooses which waiting jobs are to be in time.
+
+        Each class by what its running tasks can work off.
+        """
+        lanes: dict[str, list[Due]] = {}
+        for job in waiting:
+            if job.spec.kind != wire.SERVICE and job.no not in self._suspects:
+                due = Due(job.no, self._latest(job), job.waiting * job.spec.estimate)
+                lanes.setdefault(job.spec.lane, []).append(due)
+        running: dict[str, int] = {}
+        for job in self._live.values():
+            running[job.spec.lane] = running.get(job.spec.lane, 0) + len(job.placed)
+        self._levels = {}
+        for lane, dues in lanes.items():
+            self._levels |= levels(dues, self.runtime.wall(), max(1, running.get(lane, 0)))
--- a/flaxtally/leader.py
+++ b/flaxtally/leader.py
@@ -211,6 +211,7 @@
             self.stragglers.watch()
             self.consolidation.continue_moves(self.runtime.now())
             self.tracker.flush_releases()
+            self.scheduler.reconcile()
             self.scheduler.wake()
             # With each plan alone it fell behind where jobs are many and short.
             self._ledger.clean()
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -105,6 +105,7 @@
         "spec",
         "told",
         "waits_since",
+        "zone_counts",
     )
 
     def __init__(self, no: int, at: float, spec: wire.Spec) -> None:
@@ -115,6 +116,8 @@
         self.attempts: dict[int, int] = {}
         self.done_tasks: set[int] = set()
         self.placed: dict[int, Placement] = {}
+        self.zone_counts: dict[str, int] = {}
+        """Placements by zone; zones without any are left out."""
         self.cancelled = False
         self.done = False
         self.committed = False
@@ -147,7 +150,8 @@
         return self.requeued[0] if self.requeued else self.fresh
 
     def zone_count(self, zone: str) -> int:
-        return sum(placement.zone == zone for placement in self.placed.values())
+        """How many of its tasks are placed in the zone."""
+        return self.zone_counts.get(zone, 0)
 
 
 class Usage:
@@ -254,6 +258,7 @@
         job.attempts[task] = attempt
         placement = Placement(job, task, attempt, machine, zone)
         job.placed[task] = placement
+        job.zone_counts[zone] = job.zone_counts.get(zone, 0) + 1
         self.on_machine.setdefault(machine, {})[no, task] = placement
         usage = self.usage.setdefault(job.spec.team, Usage())
         usage.cores += job.spec.cores
@@ -291,6 +296,9 @@
     def _remove(self, placement: Placement) -> None:
         job = placement.job
         del job.placed[placement.task]
+        job.zone_counts[placement.zone] -= 1
+        if not job.zone_counts[placement.zone]:
+            del job.zone_counts[placement.zone]
         there = self.on_machine[placement.machine]
         del there[job.no, placement.task]
         if not there:
--- /dev/null
+++ b/flaxtally/machine_index.py
@@ -0,0 +1,383 @@
+"""The machines that tasks may be placed on, found by free room, pool and image. Pure.
+
+A search costs what it finds and not what there is: within a pool the machines are kept in order of
+their free cores, apart by free GPUs, so that those without room are never looked at. Machines are
+drawn at random among those that can hold a task, a sample at a time.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Callable, Collection, Hashable, Iterable, Iterator, Sequence
+from typing import Any, NamedTuple
+
+from . import wire
+from .fleet import Machine
+from .placement import SLACK, WIDEN, GpuNeeds, allowed, leaves_gpus_usable, room
+
+_STRIDES_TRIED = 32
+_DIGITS = 6
+"""Of amounts that are compared: rooms are sums and differences of amounts."""
+
+
+class PoolKey(NamedTuple):
+    """What the machines of a pool have in common."""
+
+    kind: str
+    zone: str
+    spot: bool
+
+
+class RoomTaken(NamedTuple):
+    """What decides whether a machine has more room than before."""
+
+    cores: float
+    gpus: float
+    ram: float
+    slow: bool
+    unanchored: bool
+    """Nothing but best-effort work is there, which may then find the machine too dear."""
+
+    @classmethod
+    def of(cls, machine: Machine) -> RoomTaken:
+        """What is taken of the machine now."""
+        return cls(machine.cores, machine.gpus, machine.ram, machine.slow, not machine.anchors)
+
+    def leaves_more_than(self, before: RoomTaken) -> bool:
+        """Whether some task may fit now that did not fit before.
+
+        A GPU that is taken needs no cores kept for it: then there is more room for what needs no
+        GPU.
+        """
+        return (
+            self.gpus != before.gpus
+            or self.cores < before.cores
+            or self.ram < before.ram
+            or self.slow < before.slow
+            or self.unanchored < before.unanchored
+        )
+
+
+class _Members:
+    """Machines that can be added, removed and drawn by number at a constant cost."""
+
+    __slots__ = ("_numbers", "machines")
+
+    def __init__(self) -> None:
+        self.machines: list[Machine] = []
+        self._numbers: dict[Machine, int] = {}
+
+    def add(self, machine: Machine) -> None:
+        self._numbers[machine] = len(self.machines)
+        self.machines.append(machine)
+
+    def remove(self, machine: Machine) -> None:
+        number = self._numbers.pop(machine)
+        last = self.machines.pop()
+        if last is not machine:
+            self.machines[number] = last
+            self._numbers[last] = number
+
+
+_ByCores = list[tuple[float, int, Machine]]
+"""Machines in order of their free cores; the number tells equal ones apart."""
+
+
+class _Pool:
+    """The machines of one type, zone and kind of rental."""
+
+    __slots__ = ("by_free_gpus", "kind", "members", "zone")
+
+    def __init__(self, kind: wire.MachineType, zone: str) -> None:
+        self.kind, self.zone = kind, zone
+        self.members = _Members()
+        self.by_free_gpus: dict[float, _ByCores] = {}
+
+
+class _Entry:
+    """Where a machine stands in the index, and what was known of it then."""
+
+    __slots__ = ("free_cores", "free_gpus", "images", "number", "pool", "taken")
+
+    def __init__(self, number: int, pool: _Pool) -> None:
+        self.number, self.pool = number, pool
+        self.taken: RoomTaken | None = None
+        self.free_cores = self.free_gpus = 0.0
+        self.images: frozenset[str] = frozenset()
+
+
+class _Span(NamedTuple):
+    """A part of a sequence whose items, or whose items' last field, are machines."""
+
+    items: Sequence[Any]
+    first: int
+    end: int
+
+
+class MachineIndex:
+    """The machines that may be used, as of the last `update` of each.
+
+    `usable` is asked again for each machine looked at, since a machine may fall silent without
+    anything happening. `looked` counts the machines looked at.
+    """
+
+    def __init__(
+        self,
+        kinds: dict[str, wire.MachineType],
+        rng: random.Random,
+        usable: Callable[[Machine], bool] = lambda _: True,
+    ) -> None:
+        self.kinds, self._rng, self._usable = kinds, rng, usable
+        self.looked = 0
+        self._entries: dict[Machine, _Entry] = {}
+        self._numbered = 0
+        self._pools: dict[PoolKey, _Pool] = {}
+        self._by_image: dict[str, _Members] = {}
+        self._allowed: dict[Hashable, list[_Pool]] = {}
+
+    @classmethod
+    def of(
+        cls, machines: Iterable[Machine], kinds: dict[str, wire.MachineType], rng: random.Random
+    ) -> MachineIndex:
+        """An index of machines that are all usable."""
+        index = cls(kinds, rng)
+        for machine in machines:
+            index.update(machine)
+        return index
+
+    def __contains__(self, machine: Machine) -> bool:
+        return machine in self._entries
+
+    @property
+    def machines(self) -> Iterable[Machine]:
+        """All machines of the index."""
+        return self._entries.keys()
+
+    # Changes
+
+    def update(self, machine: Machine) -> bool:
+        """Takes up what is known of the machine now; returns whether there is more room there."""
+        if not self._usable(machine):
+            self.remove(machine)
+            return False
+        entry = self._entries.get(machine)
+        if entry is None:
+            entry = self._entries[machine] = self._enter(machine)
+        self._update_images(machine, entry)
+        taken, before = RoomTaken.of(machine), entry.taken
+        if taken == before:
+            return False
+        if before is not None:
+            self._leave_room(entry)
+        entry.taken = taken
+        kind = entry.pool.kind
+        entry.free_cores = round(kind.cores - machine.cores, _DIGITS)
+        entry.free_gpus = round(kind.gpus - machine.gpus, _DIGITS)
+        by_cores = entry.pool.by_free_gpus.setdefault(entry.free_gpus, [])
+        insort(by_cores, (entry.free_cores, entry.number, machine))
+        return before is None or taken.leaves_more_than(before)
+
+    def remove(self, machine: Machine) -> None:
+        """Forgets the machine, if it is known."""
+        entry = self._entries.pop(machine, None)
+        if entry is None:
+            return
+        self._leave_room(entry)
+        entry.pool.members.remove(machine)
+        for image in entry.images:
+            self._by_image[image].remove(machine)
+
+    def _enter(self, machine: Machine) -> _Entry:
+        key = PoolKey(machine.kind, machine.zone, machine.spot)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = _Pool(self.kinds[machine.kind], machine.zone)
+            self._allowed.clear()
+        pool.members.add(machine)
+        self._numbered += 1
+        return _Entry(self._numbered, pool)
+
+    @staticmethod
+    def _leave_room(entry: _Entry) -> None:
+        by_cores = entry.pool.by_free_gpus[entry.free_gpus]
+        del by_cores[bisect_left(by_cores, (entry.free_cores, entry.number))]
+        if not by_cores:
+            del entry.pool.by_free_gpus[entry.free_gpus]
+
+    def _update_images(self, machine: Machine, entry: _Entry) -> None:
+        if entry.images == machine.images.keys():
+            return
+        images = frozenset(machine.images)
+        for image in entry.images - images:
+            self._by_image[image].remove(machine)
+        for image in images - entry.images:
+            self._by_image.setdefault(image, _Members()).add(machine)
+        entry.images = images
+
+    # Searches
+
+    def walk(
+        self, spec: wire.Spec, shut: Collection[str]
+    ) -> Iterator[tuple[Machine, wire.MachineType]]:
+        """The machines that the job may use, whatever room they have, in a random order.
+
+        `shut`: zones that the job may not use now.
+        """
+        spans = [
+            _Span(pool.members.machines, 0, len(pool.members.machines))
+            for pool in self._open(spec, shut)
+        ]
+        for machine in self._shuffled(spans):
+            self.looked += 1
+            if self._usable(machine):
+                yield machine, self.kinds[machine.kind]
+
+    def fitting(
+        self,
+        spec: wire.Spec,
+        shut: Collection[str],
+        needs: GpuNeeds | None,
+        most: int,
+        keep: Callable[[Machine], bool] | None = None,
+    ) -> list[Machine]:
+        """A sample of the machines that can hold one more task of the job.
+
+        At most `most`, drawn at random among those that hold its image, and if none of them can,
+        among all. In a large fleet a sample of all misses the few that do.
+
+        Without `needs` nothing is kept for GPU tasks, and slow machines will do. Who has found some
+        ends after `WIDEN` times as many looks; who has found none looks at all that have the cores
+        and GPUs.
+        """
+        pools = self._open(spec, shut)
+        spans = [span for pool in pools for span in self._with_room(pool, spec, needs)]
+        if not spans:
+            return []
+        fits = _Fit(spec, needs, keep)
+        holding = self._with_image(spec, pools, spans, WIDEN**2 * most)
+        return self._sample(holding, fits, most) or self._sample(
+            (entry[2] for entry in self._shuffled(spans)), fits, most
+        )
+
+    def _open(self, spec: wire.Spec, shut: Collection[str]) -> list[_Pool]:
+        """The pools that the job may use now."""
+        key = (spec.types, spec.zone, spec.spot, spec.cores, spec.gpus, spec.ram)
+        pools = self._allowed.get(key)
+        if pools is None:
+            pools = self._allowed[key] = [
+                pool
+                for (_, zone, spot), pool in self._pools.items()
+                if allowed(spec, pool.kind, zone, spot)
+            ]
+        return [pool for pool in pools if pool.zone not in shut] if shut else pools
+
+    @staticmethod
+    def _with_room(pool: _Pool, spec: wire.Spec, needs: GpuNeeds | None) -> Iterator[_Span]:
+        """The pool's machines that have the cores and GPUs; memory is looked at one by one."""
+        kind = pool.kind
+        kept = 0.0
+        if needs is not None and kind.gpus and not spec.gpus:
+            kept = min(needs.cores, kind.cores / kind.gpus)
+        for free_gpus, by_cores in pool.by_free_gpus.items():
+            if free_gpus < spec.gpus - SLACK:
+                continue
+            least = spec.cores + free_gpus * kept - 2 * SLACK
+            if by_cores[-1][0] >= least:
+                yield _Span(by_cores, bisect_left(by_cores, (least,)), len(by_cores))
+
+    def _with_image(
+        self, spec: wire.Spec, pools: list[_Pool], spans: list[_Span], most: int
+    ) -> Iterator[Machine]:
+        """Machines that hold the image, at most `most` looks, by whichever way is shorter."""
+        holding = self._by_image.get(spec.image)
+        if holding is None or not holding.machines:
+            return
+        looks = 0
+        if sum(span.end - span.first for span in spans) <= len(holding.machines):
+            for _, _, machine in self._shuffled(spans):
+                looks += 1
+                if looks > most:
+                    return
+                if spec.image in machine.images:
+                    yield machine
+            return
+        open_pools = {id(pool) for pool in pools}
+        for machine in self._shuffled([_Span(holding.machines, 0, len(holding.machines))]):
+            looks += 1
+            if looks > most:
+                return
+            if id(self._entries[machine].pool) in open_pools:
+                yield machine
+
+    def _sample(self, machines: Iterator[Machine], fits: _Fit, most: int) -> list[Machine]:
+        found: list[Machine] = []
+        enough = self.looked + WIDEN * most
+        for machine in machines:
+            self.looked += 1
+            if fits(machine, self.kinds[machine.kind]) and self._usable(machine):
+                found.append(machine)
+            if found and (len(found) >= most or self.looked >= enough):
+                break
+        return found
+
+    def _shuffled(self, spans: list[_Span]) -> Iterator[Any]:
+        """Each item of the spans once, from a random one on.
+
+        A stride without a common divisor visits each once; shuffling them would cost more than most
+        searches.
+        """
+        ends: list[int] = []
+        count = 0
+        for span in spans:
+            count += span.end - span.first
+            ends.append(count)
+        if not count:
+            return
+        at, stride = self._rng.randrange(count), self._stride(count)
+        for _ in range(count):
+            number = bisect_right(ends, at)
+            span = spans[number]
+            yield span.items[span.end - (ends[number] - at)]
+            at += stride
+            if at >= count:
+                at -= count
+
+    def _stride(self, count: int) -> int:
+        if count == 1:
+            return 0
+        for _ in range(_STRIDES_TRIED):
+            stride = self._rng.randrange(1, count)
+            if math.gcd(stride, count) == 1:
+                return stride
+        return 1
+
+
+class _Fit:
+    """Whether a machine can hold one more task of a job."""
+
+    __slots__ = ("_any_speed", "_cores", "_gpus", "_keep", "_needs", "_ram", "_spec")
+
+    def __init__(
+        self, spec: wire.Spec, needs: GpuNeeds | None, keep: Callable[[Machine], bool] | None
+    ) -> None:
+        self._spec, self._needs, self._keep = spec, needs, keep
+        self._cores, self._gpus, self._ram = spec.cores - SLACK, spec.gpus - SLACK, spec.ram - SLACK
+        self._any_speed = spec.kind == wire.SERVICE or needs is None
+
+    def __call__(self, machine: Machine, kind: wire.MachineType) -> bool:
+        spec, needs = self._spec, self._needs
+        return (
+            machine.cores + self._cores <= kind.cores
+            and machine.gpus + self._gpus <= kind.gpus
+            and machine.ram + self._ram <= kind.ram
+            and (self._any_speed or not machine.slow)
+            and (
+                bool(spec.gpus)
+                or not kind.gpus
+                or needs is None
+                or leaves_gpus_usable(spec, room(machine, kind), kind, needs)
+            )
+            and (self._keep is None or self._keep(machine))
+        )
--- /dev/null
+++ b/flaxtally/packing.py
@@ -0,0 +1,226 @@
+"""How much of a demand the room that will be there can hold. Pure."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple, Protocol
+
+from . import wire
+from .best_effort import NOTHING_DEAR, Dear
+from .forecast import Shape
+from .placement import SLACK, GpuNeeds, allowed
+
+ANY_NUMBER = 1_000_000
+"""Of tasks: no bound."""
+
+
+class Bin:
+    """A machine's room at one step of the packing."""
+
+    __slots__ = ("anchored", "cores", "gpus", "kind", "name", "ram", "spot", "zone")
+
+    def __init__(
+        self,
+        kind: wire.MachineType,
+        zone: str,
+        spot: bool,
+        cores: float,
+        gpus: float,
+        ram: float,
+        name: str = "",
+        anchored: bool = False,
+    ) -> None:
+        """`anchored`: kept for more than best-effort work."""
+        self.kind, self.zone, self.spot = kind, zone, spot
+        self.cores, self.gpus, self.ram = cores, gpus, ram
+        self.name, self.anchored = name, anchored
+
+    @classmethod
+    def empty(cls, kind: wire.MachineType, zone: str, spot: bool) -> Bin:
+        """A machine with nothing on it."""
+        return cls(kind, zone, spot, kind.cores, kind.gpus, kind.ram)
+
+    def copy(self) -> Bin:
+        """The same room, to be used up by itself."""
+        return Bin(
+            self.kind,
+            self.zone,
+            self.spot,
+            self.cores,
+            self.gpus,
+            self.ram,
+            self.name,
+            self.anchored,
+        )
+
+
+@dataclass
+class Demand:
+    """Tasks of one shape that need room at a time of the horizon."""
+
+    shape: Shape
+    count: float
+    until: float
+    zones: dict[str, int] = field(default_factory=dict)
+    caps: dict[str, int] | None = None
+    """For jobs that spread: how many more of their tasks each zone may take. None: any number."""
+    typical: bool = False
+    """Stands for its lane in the forecast of arrivals."""
+    dear: Dear = NOTHING_DEAR
+    """Types that best-effort work neither rents nor keeps."""
+
+    def may_use(self, room: Bin) -> bool:
+        """Whether the room counts for this demand."""
+        return allowed(self.shape, room.kind, room.zone, room.spot) and (
+            room.anchored or (room.kind.name, room.spot) not in self.dear
+        )
+
+    def cap(self, zone: str) -> int:
+        """How many more tasks the zone may take."""
+        return ANY_NUMBER if self.caps is None else self.caps.get(zone, 0)
+
+    def add(self, count: float, length: float) -> None:
+        """That many tasks more, which run that long."""
+        whole = self.count + count
+        if whole:
+            self.until = (self.until * self.count + length * count) / whole
+        self.count = whole
+
+    def used(self, zone: str, count: int) -> None:
+        """That many tasks were packed in the zone."""
+        if self.caps is not None:
+            self.caps[zone] = self.cap(zone) - count
+
+
+class _PoolKey(NamedTuple):
+    """What decides whether a demand may use a bin."""
+
+    kind: str
+    zone: str
+    spot: bool
+    anchored: bool
+
+
+class Rooms:
+    """The bins of one step, by pool, in the order in which they came."""
+
+    def __init__(self, bins: Iterable[Bin] = ()) -> None:
+        self._pools: dict[_PoolKey, list[Bin]] = {}
+        for room in bins:
+            self.add(room)
+
+    def add(self, room: Bin) -> None:
+        """One more machine's room."""
+        key = _PoolKey(room.kind.name, room.zone, room.spot, room.anchored)
+        self._pools.setdefault(key, []).append(room)
+
+    def copy(self, without: Collection[str] = ()) -> Rooms:
+        """The same rooms, to be used up by themselves, less those of the machines named."""
+        copied = Rooms()
+        copied._pools = {
+            key: [room.copy() for room in rooms if room.name not in without]
+            for key, rooms in self._pools.items()
+        }
+        return copied
+
+    def drop_full(self, demands: Iterable[Demand], needs: GpuNeeds) -> None:
+        """Drops the bins in which no task of any demand finds room: packing passes over them."""
+        demands = list(demands)
+        for key, rooms in self._pools.items():
+            shapes = [demand.shape for demand in demands if rooms and demand.may_use(rooms[0])]
+            least = [
+                size
+                for size in (
+                    _least(shape for shape in shapes if shape.gpus),
+                    _least(shape for shape in shapes if not shape.gpus),
+                )
+                if size is not None
+            ]
+            self._pools[key] = [
+                room for room in rooms if any(slots(size, room, needs) for size in least)
+            ]
+
+    def usable_by(self, demand: Demand) -> list[list[Bin]]:
+        """The pools that count for the demand, those that it is to use first at the front.
+
+        Spot machines first for what may use them, plain ones first for what needs no GPU.
+        """
+        shape = demand.shape
+        found = [rooms for rooms in self._pools.values() if rooms and demand.may_use(rooms[0])]
+        found.sort(
+            key=lambda rooms: (
+                shape.spot and not rooms[0].spot,
+                bool(rooms[0].kind.gpus) and not shape.gpus,
+            )
+        )
+        return found
+
+
+class Size(Protocol):
+    """What a task takes of its machine."""
+
+    @property
+    def cores(self) -> float: ...
+
+    @property
+    def gpus(self) -> float: ...
+
+    @property
+    def ram(self) -> float: ...
+
+
+class _Size(NamedTuple):
+    cores: float
+    gpus: float
+    ram: float
+
+
+def _least(shapes: Iterable[Shape]) -> _Size | None:
+    """The least that any of the shapes takes, by resource; None: there are none."""
+    sizes = [(shape.cores, shape.gpus, shape.ram) for shape in shapes]
+    if not sizes:
+        return None
+    cores, gpus, ram = zip(*sizes, strict=True)
+    return _Size(min(cores), min(gpus), min(ram))
+
+
+def slots(size: Size, room: Bin, needs: GpuNeeds) -> int:
+    """How many tasks of a size a bin still takes."""
+    cores, ram, kind = room.cores, room.ram, room.kind
+    if not size.gpus and kind.gpus:
+        cores -= room.gpus * min(needs.cores, kind.cores / kind.gpus)
+        ram -= room.gpus * min(needs.ram, kind.ram / kind.gpus)
+    most = math.inf
+    if size.cores:
+        most = (cores + SLACK) / size.cores
+    if size.gpus:
+        most = min(most, (room.gpus + SLACK) / size.gpus)
+    if size.ram:
+        most = min(most, (ram + SLACK) / size.ram)
+    return max(0, int(most)) if most < math.inf else ANY_NUMBER
+
+
+def take(size: Size, room: Bin, count: int) -> None:
+    """Uses up the room of that many tasks."""
+    room.cores -= size.cores * count
+    room.gpus -= size.gpus * count
+    room.ram -= size.ram * count
+
+
+def pack(demand: Demand, rooms: Rooms, needs: GpuNeeds) -> int:
+    """Packs the demand into the rooms, which it uses up; gives how many tasks are left over."""
+    left = int(demand.count)
+    if left <= 0:
+        return left
+    for bins in rooms.usable_by(demand):
+        for room in bins:
+            count = min(left, slots(demand.shape, room, needs), demand.cap(room.zone))
+            if count:
+                take(demand.shape, room, count)
+                demand.used(room.zone, count)
+                left -= count
+                if left <= 0:
+                    return left
+    return left
--- a/flaxtally/placement.py
+++ b/flaxtally/placement.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import math
-import random
-from collections.abc import Callable, Hashable, Iterable, Iterator
+from collections.abc import Callable, Collection, Hashable, Iterable
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from . import wire
 from .fleet import Machine
@@ -30,6 +28,14 @@
             and spec.ram <= self.ram + SLACK
         )
 
+    def plus(self, spec: wire.Spec) -> Room:
+        """The room when a task of the job is gone."""
+        return Room(self.cores + spec.cores, self.gpus + spec.gpus, self.ram + spec.ram)
+
+    def minus(self, spec: wire.Spec) -> Room:
+        """The room when a task of the job has come."""
+        return Room(self.cores - spec.cores, self.gpus - spec.gpus, self.ram - spec.ram)
+
 
 def room(machine: Machine, kind: wire.MachineType) -> Room:
     """What the machine has left."""
@@ -129,153 +135,20 @@
         self._sizes[key] = [*kept, size]
 
 
-_Entry = tuple[int, wire.MachineType, Machine]
-
-
-class Stock:
-    """The machines that one pass of the scheduler may use.
+class Stock(Protocol):
+    """Machines among which one is chosen."""
 
-    They are walked in a random order, each with its pool.
-
-    What a pool may not take (types, zones, spot) is decided once a shape, not once a machine; a
-    search begins at a random place and ends as soon as it has a sample. `looked` counts the
-    machines looked at.
-    """
-
-    def __init__(
-        self, machines: Iterable[Machine], kinds: dict[str, wire.MachineType], rng: random.Random
-    ) -> None:
-        self.kinds, self._rng, self.looked = kinds, rng, 0
-        numbers: dict[tuple[str, str, bool], int] = {}
-        self._entries = [
-            (
-                numbers.setdefault((machine.kind, machine.zone, machine.spot), len(numbers)),
-                kinds[machine.kind],
-                machine,
-            )
-            for machine in machines
-        ]
-        # A stride without a common divisor visits each machine once, in an order of its own;
-        # shuffling hundreds of machines for each pass cost more than most passes' searches.
-        count = len(self._entries)
-        self._stride = (
-            next(
-                (
-                    stride
-                    for stride in (rng.randrange(1, count) for _ in range(32))
-                    if math.gcd(stride, count) == 1
-                ),
-                1,
-            )
-            if count > 1
-            else 0
-        )
-        self._pools = list(numbers)
-        self._allowed: dict[Hashable, list[bool]] = {}
-        self._by_image: dict[str, list[_Entry]] | None = None
-
-    def _open(self, spec: wire.Spec, zone_open: dict[str, bool]) -> list[bool]:
-        """By pool: whether the job may use it now."""
-        key = (spec.types, spec.zone, spec.spot, spec.cores, spec.gpus, spec.ram)
-        allows = self._allowed.get(key)
-        if allows is None:
-            allows = self._allowed[key] = [
-                allowed(spec, self.kinds[kind], zone, spot) for kind, zone, spot in self._pools
-            ]
-        if not zone_open:
-            return allows
-        return [
-            allow and zone_open.get(zone, True)
-            for allow, (_, zone, _) in zip(allows, self._pools, strict=True)
-        ]
-
-    def walk(
-        self, spec: wire.Spec, zone_open: dict[str, bool]
-    ) -> Iterator[tuple[Machine, wire.MachineType]]:
-        """The machines that the job may use, whatever room they have, from a random one on."""
-        return self._walk(self._entries, self._stride, self._open(spec, zone_open))
-
-    def _walk(
-        self, entries: list[_Entry], stride: int, opens: list[bool]
-    ) -> Iterator[tuple[Machine, wire.MachineType]]:
-        if not any(opens):
-            return
-        count = len(entries)
-        at = self._rng.randrange(count) if count else 0
-        for _ in range(count):
-            number, kind, machine = entries[at]
-            if opens[number]:
-                self.looked += 1
-                yield machine, kind
-            at += stride
-            if at >= count:
-                at -= count
-
-    def _holding(self, image: str) -> list[_Entry]:
-        """The machines that hold the image."""
-        if self._by_image is None:
-            self._by_image = {}
-            for entry in self._entries:
-                for held in entry[2].images:
-                    self._by_image.setdefault(held, []).append(entry)
-        return self._by_image.get(image, [])
+    kinds: dict[str, wire.MachineType]
 
     def fitting(
         self,
         spec: wire.Spec,
-        zone_open: dict[str, bool],
+        shut: Collection[str],
         needs: GpuNeeds | None,
         most: int,
         keep: Callable[[Machine], bool] | None = None,
     ) -> list[Machine]:
-        """A sample of the machines that can hold one more task of the job.
-
-        At most `most`, drawn at random among those that hold its image, and if none of them can,
-        among all. In a large fleet a sample of all misses the few that do.
-
-        Without `needs` nothing is kept for GPU tasks, and slow machines will do. Who has found some
-        ends after `WIDEN` times as many looks; who has found none looks at all.
-        """
-        opens = self._open(spec, zone_open)
-        for walk in (
-            self._walk(self._holding(spec.image), 1, opens),
-            self._walk(self._entries, self._stride, opens),
-        ):
-            found = self._sample(walk, spec, needs, most, keep)
-            if found:
-                return found
-        return []
-
-    def _sample(
-        self,
-        walk: Iterator[tuple[Machine, wire.MachineType]],
-        spec: wire.Spec,
-        needs: GpuNeeds | None,
-        most: int,
-        keep: Callable[[Machine], bool] | None,
-    ) -> list[Machine]:
-        found: list[Machine] = []
-        enough = self.looked + WIDEN * most
-        quick = spec.kind == wire.SERVICE or needs is None
-        cores, gpus, ram = spec.cores - SLACK, spec.gpus - SLACK, spec.ram - SLACK
-        for machine, kind in walk:
-            if (
-                machine.cores + cores <= kind.cores
-                and machine.gpus + gpus <= kind.gpus
-                and machine.ram + ram <= kind.ram
-                and (quick or not machine.slow)
-                and (
-                    spec.gpus
-                    or not kind.gpus
-                    or needs is None
-                    or leaves_gpus_usable(spec, room(machine, kind), kind, needs)
-                )
-                and (keep is None or keep(machine))
-            ):
-                found.append(machine)
-            if found and (len(found) >= most or self.looked >= enough):
-                break
-        return found
+        """A sample of the machines that can hold one more task of the job."""
 
 
 def choose(
@@ -284,12 +157,15 @@
     stock: Stock,
     needs: GpuNeeds | None,
     sample: int,
-    zone_open: dict[str, bool],
+    shut: Collection[str],
     keep: Callable[[Machine], bool] | None = None,
 ) -> Machine | None:
-    """The machine for a task, or None. Looks at a sample of those that can hold it."""
+    """The machine for a task, or None. Looks at a sample of those that can hold it.
+
+    `shut`: zones that the job may not use now.
+    """
     best: tuple[tuple[float, ...], Machine] | None = None
-    for machine in stock.fitting(spec, zone_open, needs, sample, keep):
+    for machine in stock.fitting(spec, shut, needs, sample, keep):
         kind = stock.kinds[machine.kind]
         left = room(machine, kind)
         after = max(
@@ -301,7 +177,7 @@
             float(spec.kind == wire.SERVICE and any(no == job_no for no, _ in machine.placements)),
             float(spec.spot and not machine.spot),
             # Services pin a machine for long: the fewer are pinned, the more can be given back.
-            -round(machine.pinned(), 3),
+            -round(machine.pinned, 3),
             after,
         )
         if best is None or score < best[0]:
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -10,7 +10,8 @@
 
 from flaxtally import wire
 from flaxtally.fleet import Machine
-from flaxtally.lead.scheduler import MOST_PLACED, Scheduler
+from flaxtally.lead.scheduler import Scheduler
+from flaxtally.lead.scheduling_pass import MOST_PLACED
 from flaxtally.ledger.book import Job
 from flaxtally.settings import Objective, Team
 
@@ -36,7 +37,7 @@
     world.run(15)
     leader = world.nodes[leader_of(world)].leader
     by_ref = leader.book.by_ref
-    assert by_ref["j-000002"].no in leader.jobs.beyond
+    assert by_ref["j-000002"].no in leader.jobs.queue.beyond
     assert "j-000003" not in by_ref
     assert any("j-000003 refused (422)" in line for line in world.trace)
     ends_well(world)
@@ -121,13 +122,13 @@
     # 6,000 tasks of some seconds on an idle fleet: a pass places a bounded number of them, commits
     # stay within the state service's limits, others go on, and cancelling it halfway ends it all.
     placed: Counter[float] = Counter()
-    place = Scheduler._place
+    place = Scheduler.place
 
     def counted(scheduler: Scheduler, job: Job, machine: Machine) -> None:
         placed[scheduler.runtime.now()] += 1
         place(scheduler, job, machine)
 
-    monkeypatch.setattr(Scheduler, "_place", counted)
+    monkeypatch.setattr(Scheduler, "place", counted)
     world = World(guests=(GUEST,), capacity=3)
     world.submit(spec("j-000001", tasks=2))
     assert world.until(lambda: world.count("j-000001") == 2, 60)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,13 +16,15 @@
 from flaxtally.cli import main
 from flaxtally.consolidate import pick
 from flaxtally.dispatch import owner
-from flaxtally.fill import Bin, Demand, Pool, pack, plan
+from flaxtally.fill import Pool, plan
 from flaxtally.fleet import Machine
 from flaxtally.forecast import Arrivals, Shape
 from flaxtally.http import BadMessage, Parser
 from flaxtally.ledger.book import Book, BookError
+from flaxtally.machine_index import MachineIndex
+from flaxtally.packing import Bin, Demand, Rooms, pack
 from flaxtally.peers import Frames, encode
-from flaxtally.placement import GpuNeeds, Stock, choose, gpu_needs
+from flaxtally.placement import GpuNeeds, choose, gpu_needs
 from flaxtally.settings import SettingsError, parse
 
 from .world import TYPES, batch, spec
@@ -287,12 +289,15 @@
 def test_fill_takes_the_cheapest_per_work_and_the_open_zone() -> None:
     gate = Shape.of(spec("j-000001"))
     pools = [Pool(kind, zone, spot) for kind in KINDS for zone in "ab" for spot in (False, True)]
-    rents = plan([(0.0, [Demand(gate, 10, 300.0)], [])], KINDS, pools, NEEDS, 1.1, 9)
+    rents = plan([(0.0, [Demand(gate, 10, 300.0)], Rooms())], KINDS, pools, NEEDS, 1.1, 9)
     assert [(rent.pool.kind, rent.pool.spot) for rent in rents] == [("c16", False)] * 2
     gpu = Shape.of(batch("j-000002", 8))
-    rents = plan([(0.0, [Demand(gpu, 8, 60.0)], [])], KINDS, pools, NEEDS, 1.1, 9)
+    rents = plan([(0.0, [Demand(gpu, 8, 60.0)], Rooms())], KINDS, pools, NEEDS, 1.1, 9)
     assert [(rent.pool.kind, rent.pool.spot) for rent in rents] == [("g8", True)]
-    assert plan([(0.0, [Demand(gpu, 8, 60.0)], [room("g8")])], KINDS, pools, NEEDS, 1.1, 9) == []
+    assert (
+        plan([(0.0, [Demand(gpu, 8, 60.0)], Rooms([room("g8")]))], KINDS, pools, NEEDS, 1.1, 9)
+        == []
+    )
 
 
 def test_fill_sees_that_spread_jobs_need_a_second_zone() -> None:
@@ -300,7 +305,7 @@
     gate = Shape.of(spec("j-000001", tasks=2))
     pools = [Pool("c16", zone, False) for zone in "ab"]
     demand = Demand(gate, 2, 300.0, caps={"a": 1, "b": 1})
-    rents = plan([(0.0, [demand], [room("c16", "a")])], KINDS, pools, NEEDS, 1.1, 9)
+    rents = plan([(0.0, [demand], Rooms([room("c16", "a")]))], KINDS, pools, NEEDS, 1.1, 9)
     assert [rent.pool.zone for rent in rents] == ["b"]
 
 
@@ -314,7 +319,7 @@
     def kinds_for(price: float) -> dict[str, wire.MachineType]:
         return {"c16": msgspec.structs.replace(quick, price=price), "g8": slow}
 
-    steps = [(30.0, [Demand(gate, 8, 300.0)], []), (60.0, [Demand(gate, 8, 300.0)], [])]
+    steps = [(30.0, [Demand(gate, 8, 300.0)], Rooms()), (60.0, [Demand(gate, 8, 300.0)], Rooms())]
     assert [
         rent.pool.kind for rent in plan(copy.deepcopy(steps), kinds_for(0.6), pools, NEEDS, 1.1, 9)
     ] == ["c16"]
@@ -327,7 +332,7 @@
     # The sum of free GPUs would hold the task; no single machine does.
     big = Demand(Shape.of(batch("j-000001", 1, image="x")), 1, 60.0)
     half = [Bin(KINDS["g8"], "a", True, 32.0, 0.5, 256.0) for _ in range(4)]
-    assert pack(big, half, NEEDS) == 1
+    assert pack(big, Rooms(half), NEEDS) == 1
 
 
 def test_placement_prefers_cached_images_and_leaves_gpus_their_cores() -> None:
@@ -337,13 +342,15 @@
         for name, kind in (("n-1", "c16"), ("n-2", "c16"), ("n-3", "g8"))
     )
     warm.note_image("img-1", 8.0, 40.0)
-    chosen = choose(gate, 1, Stock([cold, warm], KINDS, random.Random(1)), NEEDS, 9, {})
+    chosen = choose(gate, 1, MachineIndex.of([cold, warm], KINDS, random.Random(1)), NEEDS, 9, ())
     assert chosen is warm
     needs = gpu_needs([work])
     gpu.cores = 8.0  # 24 cores left, which its 8 free GPUs will all need
-    assert choose(gate, 1, Stock([gpu], KINDS, random.Random(1)), needs, 9, {}) is None
-    assert choose(work, 2, Stock([gpu], KINDS, random.Random(1)), needs, 9, {}) is gpu
-    assert choose(gate, 1, Stock([warm], KINDS, random.Random(1)), NEEDS, 9, {"a": False}) is None
+    assert choose(gate, 1, MachineIndex.of([gpu], KINDS, random.Random(1)), needs, 9, ()) is None
+    assert choose(work, 2, MachineIndex.of([gpu], KINDS, random.Random(1)), needs, 9, ()) is gpu
+    assert (
+        choose(gate, 1, MachineIndex.of([warm], KINDS, random.Random(1)), NEEDS, 9, {"a"}) is None
+    )
 
 
 def test_hashing_moves_only_the_lost_controllers_machines() -> None:
@@ -372,7 +379,7 @@
     def pick_with(moving: list[Machine]) -> Machine | None:
         usable = [machine for machine in fleet if machine not in moving]
         return pick(
-            usable, KINDS, NEEDS, 24, random.Random(1), lambda *_: {}, lambda _: True, True, moving
+            usable, KINDS, NEEDS, 24, random.Random(1), lambda *_: (), lambda _: True, True, moving
         )[0]
 
     assert pick_with([]) in fleet
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from flaxtally import wire
 from flaxtally.consolidate import takes
-from flaxtally.fill import Demand, merged
+from flaxtally.fill import merged
 from flaxtally.fleet import Machine
 from flaxtally.forecast import Shape
 from flaxtally.lead.planner import MOST_CHECKS, Planner
 from flaxtally.ledger.book import Job, Placement
 from flaxtally.loop import Loop
+from flaxtally.machine_index import MachineIndex
+from flaxtally.packing import Demand
 from flaxtally.placement import Exhausted
 from flaxtally.settings import Team
 from flaxtally.urgency import Due, levels
@@ -63,22 +67,27 @@
 def test_who_found_no_room_looks_again_where_there_is_more() -> None:
     # A day of 600 machines took over 400 s of processor time: each pass sought room anew for all
     # that waited. What is remembered must be forgotten in time, or tasks wait beside free room.
-    world = World()
-    assert world.until(lambda: world.leader() is not None, 10)
-    scheduler = world.nodes[world.leader() or ""].leader.scheduler
-    machines = [Machine(f"n-{number}", TYPES[1].name, "a", False, 0.0) for number in range(3)]
-    one, two, three = machines
-    assert scheduler._grown(machines, set()) == machines
-    assert scheduler._grown(machines, set()) == []
+    index = MachineIndex({kind.name: kind for kind in TYPES}, random.Random(1))
+    one, two, three = (
+        Machine(f"n-{number}", TYPES[1].name, "a", False, 0.0) for number in range(3)
+    )
+    assert [index.update(machine) for machine in (one, two, three)] == [True] * 3
+    assert [index.update(machine) for machine in (one, two, three)] == [False] * 3
     one.cores, two.ram = 8.0, 8.0
-    assert scheduler._grown(machines, set()) == []
+    assert not index.update(one)
+    assert not index.update(two)
     one.cores = 4.0
-    assert scheduler._grown(machines, set()) == [one]
+    assert index.update(one)
     # A GPU that is taken keeps no cores any more from what needs no GPU.
     two.gpus = 1.0
-    assert scheduler._grown(machines, set()) == [two]
-    assert scheduler._grown([one, two], {"n-0"}) == [one]
-    assert scheduler._grown(machines, set()) == [three]
+    assert index.update(two)
+    three.slow = True
+    assert not index.update(three)
+    three.slow = False
+    assert index.update(three)
+    # One that is gone for a while has all its room anew when it is back.
+    index.remove(three)
+    assert index.update(three)
 
 
 def test_a_size_that_found_no_room_answers_for_larger_ones() -> None:
--- a/tools/profile_controller.py
+++ b/tools/profile_controller.py
@@ -14,6 +14,7 @@
 
 import argparse
 import cProfile
+import dataclasses
 import functools
 import importlib
 import pstats
@@ -27,6 +28,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from flaxtally import wire
+from flaxtally.settings import Settings, Team
 from tests import sim, world
 
 DUTIES: dict[str, list[str]] = {
@@ -68,6 +70,8 @@
 LEADER, FOLLOWER, STAND_INS = "leader", "follower", "stand-ins"
 MOST_FUNCTIONS = 50
 REPLICA_IMAGES, BATCH_IMAGES = 16, 12
+POOLS = 8
+SOCKETS_A_MACHINE, FEWEST_SOCKETS = 4, 500
 ARRAY_SIZES = (4, 8, 12, 12, 20, 40)
 
 
@@ -205,10 +209,25 @@
         self._world.call(node, "GET", f"{wire.WORK}/{ref}", None, lambda *_: None)
 
 
-def deploy(capacity: int) -> tuple[world.World, Callable[[str], str]]:
-    """A deployment, and what role a host plays in it."""
-    team = world.Team("crew", 0.0, 20000.0, 0.0, 4000.0)
-    deployment = world.World(capacity=capacity, team=team)
+class LargeWorld(world.World):
+    """A deployment whose controllers are granted what its size needs."""
+
+    def __init__(self, capacity: int, team: Team) -> None:
+        self._sockets = max(FEWEST_SOCKETS, SOCKETS_A_MACHINE * capacity * POOLS)
+        super().__init__(capacity=capacity, team=team)
+
+    def settings_of(self, node: str) -> Settings:
+        return dataclasses.replace(super().settings_of(node), max_sockets=self._sockets)
+
+
+def deploy(capacity: int, running: int) -> tuple[world.World, Callable[[str], str]]:
+    """A deployment, and what role a host plays in it. `running`: machines that it starts with."""
+    pools = capacity * POOLS
+    team = Team("crew", 0.0, max(20000.0, 19.0 * pools), 0.0, max(4000.0, 3.8 * pools))
+    deployment = LargeWorld(capacity, team)
+    for number in range(running):
+        kind, zone = world.TYPES[number % 2].name, world.ZONES[number // 2 % 2]
+        deployment.cloud.add(kind, zone, number // 4 % 2 == 0, boot=1.0)
     names = {deployment.ip(name): name for name in deployment.names}
 
     def role_of(ip: str) -> str:
@@ -231,6 +250,7 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description="Where a controller's processor time goes.")
     parser.add_argument("--capacity", type=int, default=33, help="machines a pool (of eight)")
+    parser.add_argument("--running", type=int, default=0, help="machines up at the start")
     parser.add_argument("--gates", type=int, default=200, help="standing services at the start")
     parser.add_argument("--arrivals", type=float, default=1.2, help="jobs a second")
     parser.add_argument("--polls", type=float, default=20.0, help="polls a second")
@@ -249,7 +269,7 @@
     if not arguments.functions:
         # Before the controllers exist: they hold on to their own methods.
         meter_duties(meter)
-    deployment, role_of = deploy(arguments.capacity)
+    deployment, role_of = deploy(arguments.capacity, arguments.running)
     load = Load(deployment, arguments.arrivals, arguments.polls)
     load.begin(arguments.gates)
     deployment.run(arguments.warm_up)
