--- a/flaxtally/dispatch.py
+++ b/flaxtally/api/dispatch.py
@@ -10,16 +10,16 @@
 
 import msgspec
 
-from . import wire
-from .actor import Actor
-from .election import Election
-from .http import Request
-from .lead.orders import OrderCarrier
-from .loop import Runtime, Timer
-from .peers import Frame, Peers
-from .policy import Policy
-from .settings import Settings
-from .workers import Workers, decode_report
+from ..clients.workers import Workers, decode_report
+from ..cluster.election import Election
+from ..cluster.peers import Frame, Peers
+from ..lead.orders import OrderCarrier
+from ..policy import Policy
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.http import Request
+from ..runtime.loop import Runtime, Timer
+from ..settings import Settings
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/intake.py
+++ b/flaxtally/api/intake.py
@@ -9,14 +9,14 @@
 
 import msgspec
 
-from . import wire
-from .actor import Actor
-from .election import Election
-from .http import Request
-from .leader import Leader
-from .loop import Runtime, Timer
-from .peers import Frame, Peers
-from .policy import Policy
+from ..cluster.election import Election
+from ..cluster.peers import Frame, Peers
+from ..lead.leader import Leader
+from ..policy import Policy
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.http import Request
+from ..runtime.loop import Runtime, Timer
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/cells/allotment.py
+++ b/flaxtally/cells/allotment.py
@@ -16,20 +16,12 @@
 
 import msgspec
 
-from .. import wire
-from ..actor import Actor
-from ..loop import Runtime
+from ..clients.store import Outcome, Store
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.loop import Runtime
 from ..settings import Team
-from ..store import Outcome, Store
-from .shares import (
-    TOLERANCE,
-    ZERO,
-    Amount,
-    TeamShares,
-    equal_shares,
-    limit_of,
-    share_as_team,
-)
+from .shares import TOLERANCE, ZERO, Amount, TeamShares, equal_shares, limit_of, share_as_team
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/cells/cell_cloud.py
+++ b/flaxtally/cells/cell_cloud.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from .. import wire
-from ..cloud import Cloud
-from ..loop import Address, Runtime
+from ..clients.cloud import Cloud
+from ..protocol import wire
+from ..runtime.loop import Address, Runtime
 
 
 class CellCloud(Cloud):
--- a/flaxtally/cells/command.py
+++ b/flaxtally/cells/command.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from .. import wire
-from ..loop import Loop
+from ..clients.store import Outcome, Store
+from ..protocol import wire
+from ..runtime.loop import Loop
 from ..settings import address
-from ..store import Outcome, Store
 from .allotment import SHARES, team_of
 from .map import CellIndex, CellMap, CellMapError, decode, read_file
 from .map_keeper import MAP_KEY
--- a/flaxtally/cells/directory.py
+++ b/flaxtally/cells/directory.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from .. import wire
-from ..store import Outcome, Store
+from ..clients.store import Outcome, Store
+from ..protocol import wire
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/cells/gateway.py
+++ b/flaxtally/cells/gateway.py
@@ -14,24 +14,16 @@
 
 import msgspec
 
-from .. import wire
-from ..actor import Actor
-from ..dispatch import rendezvous_weight
-from ..election import Election
-from ..loop import Runtime, Timer
-from ..peers import Frame, Peers
+from ..api.dispatch import rendezvous_weight
+from ..cluster.election import Election
+from ..cluster.peers import Frame, Peers
 from ..policy import Policy
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.loop import Runtime, Timer
 from .directory import Directory, Entry, Found
 from .map import Cell, CellIndex
-from .messages import (
-    Answer,
-    CellState,
-    Kind,
-    Message,
-    Question,
-    from_frame,
-    to_frame,
-)
+from .messages import Answer, CellState, Kind, Message, Question, from_frame, to_frame
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/cells/map.py
+++ b/flaxtally/cells/map.py
@@ -14,7 +14,7 @@
 import msgspec
 from pyrsistent import PMap, pmap
 
-from ..loop import Address
+from ..runtime.loop import Address
 from ..settings import SettingsError, address, read_toml
 
 NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,39}\Z")
--- a/flaxtally/cells/map_keeper.py
+++ b/flaxtally/cells/map_keeper.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from .. import wire
-from ..actor import Actor
-from ..loop import Runtime
-from ..store import Outcome, Store
+from ..clients.store import Outcome, Store
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.loop import Runtime
 from .map import CellIndex, CellMap, CellMapError, decode
 
 log = logging.getLogger(__name__)
--- a/flaxtally/cells/membership.py
+++ b/flaxtally/cells/membership.py
@@ -12,18 +12,18 @@
 from dataclasses import replace
 from functools import cached_property
 
-from .. import wire
-from ..actor import Actor
-from ..cloud import Cloud
-from ..dispatch import Dispatch, Home, owner
-from ..election import LEAD, Election
-from ..intake import Intake
-from ..leader import Leader
-from ..loop import Address, Runtime
-from ..peers import Peers
+from ..api.dispatch import Dispatch, Home, owner
+from ..api.intake import Intake
+from ..clients.cloud import Cloud
+from ..clients.store import Store
+from ..cluster.election import LEAD, Election
+from ..cluster.peers import Peers
+from ..lead.leader import Leader
 from ..policy import Policy
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.loop import Address, Runtime
 from ..settings import Settings
-from ..store import Store
 from .allotment import Allotment
 from .cell_cloud import CellCloud
 from .directory import Directory
--- a/flaxtally/cells/messages.py
+++ b/flaxtally/cells/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..peers import Frame
+from ..cluster.peers import Frame
 
 STATE, QUESTION, ANSWER = "cell_state", "cell_ask", "cell_answer"
 
--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -16,8 +16,8 @@
 
 if TYPE_CHECKING:
     from .cells.membership import CellSetup
-    from .loop import Loop
     from .node import Node
+    from .runtime.loop import Loop
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 DONE, REFUSED, BAD_INPUT = 0, 1, 2
@@ -51,8 +51,8 @@
 
 def import_runtime() -> tuple[type[Loop], type[Node]]:
     """Imports what only a controller needs: `check` and `--help` do without its libraries."""
-    from .loop import Loop
     from .node import Node
+    from .runtime.loop import Loop
 
     return Loop, Node
 
@@ -125,19 +125,19 @@
 
 
 def _submit(arguments: argparse.Namespace) -> int:
-    from . import wire
+    from .protocol import wire
 
     return _ask(arguments, "POST", wire.WORK, _job(arguments.job))
 
 
 def _status(arguments: argparse.Namespace) -> int:
-    from . import wire
+    from .protocol import wire
 
     return _ask(arguments, "GET", f"{wire.WORK}/{arguments.ref}", None)
 
 
 def _cancel(arguments: argparse.Namespace) -> int:
-    from . import wire
+    from .protocol import wire
 
     return _ask(arguments, "POST", f"{wire.WORK}/{arguments.ref}/cancel", None)
 
@@ -146,8 +146,8 @@
     """One question to a controller; its answer goes to standard output as JSON."""
     import msgspec
 
-    from .http import Client, Reply
-    from .loop import Loop
+    from .runtime.http import Client, Reply
+    from .runtime.loop import Loop
 
     controller = address(arguments.to)
     if controller is None:
--- a/flaxtally/cloud.py
+++ b/flaxtally/clients/cloud.py
@@ -11,9 +11,10 @@
 
 import msgspec
 
-from . import wire
-from .http import Client, Reply
-from .loop import Address, Runtime
+from ..protocol import wire
+from ..runtime.http import Client, Reply
+from ..runtime.loop import Address, Runtime
+from ..runtime.token_bucket import TokenBucket
 
 log = logging.getLogger(__name__)
 
@@ -27,36 +28,6 @@
 MOST_RENTED = 50
 
 
-class Bucket:
-    """A call budget: `rate` a second, with bursts of `burst`."""
-
-    def __init__(self, runtime: Runtime, rate: float, burst: float) -> None:
-        self._runtime, self._rate, self._burst = runtime, rate, burst
-        self._level, self._at = burst, runtime.now()
-
-    def wait(self, cost: float) -> float:
-        """Seconds until `cost` can be taken (0: now)."""
-        now = self._runtime.now()
-        self._level = min(self._burst, self._level + (now - self._at) * self._rate)
-        self._at = now
-        wait = (min(cost, self._burst) - self._level) / self._rate
-        # Below what a clock can tell apart it would be waited for without end.
-        return wait if wait > 1e-6 else 0.0
-
-    def take(self, cost: float) -> None:
-        self._level -= cost
-
-    def try_take(self, cost: float) -> bool:
-        """Takes `cost` if it can be taken now."""
-        if self.wait(cost):
-            return False
-        self.take(cost)
-        return True
-
-    def empty(self) -> None:
-        self._level = 0.0
-
-
 class Cloud:
     """The cloud's calls. Every `done` gets None when there was no answer that can be believed."""
 
@@ -65,7 +36,7 @@
         self._client = Client(runtime, address, most=3)
         # Three nodes share no budget: only the leader calls, and a fresh leader must not start with
         # the burst that its predecessor may just have used.
-        self._bucket = Bucket(runtime, rps * 0.9, rps)
+        self._bucket = TokenBucket(runtime, rps * 0.9, rps)
         self._waiting: list[tuple[int, int, tuple[Any, ...]]] = []
         self._order = itertools.count()
         self._armed = self._held = False
--- a/flaxtally/store.py
+++ b/flaxtally/clients/store.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from . import wire
-from .http import Client, Reply
-from .loop import Address, Runtime
+from ..protocol import wire
+from ..runtime.http import Client, Reply
+from ..runtime.loop import Address, Runtime
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/workers.py
+++ b/flaxtally/clients/workers.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from . import wire
-from .http import Client, OpenConnections, Reply
-from .loop import Address, Runtime
+from ..protocol import wire
+from ..runtime.http import Client, OpenConnections, Reply
+from ..runtime.loop import Address, Runtime
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/election.py
+++ b/flaxtally/cluster/election.py
@@ -14,12 +14,12 @@
 from functools import partial
 from typing import Any
 
-from . import wire
-from .actor import Actor
-from .loop import Runtime
+from ..clients.store import Outcome, Store
+from ..policy import Policy
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.loop import Runtime
 from .peers import Frame, Peers
-from .policy import Policy
-from .store import Outcome, Store
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/mail.py
+++ b/flaxtally/cluster/mail.py
@@ -19,10 +19,10 @@
 
 import cbor2
 
-from . import wire
-from .actor import Actor
-from .loop import Runtime
-from .store import Outcome, Store
+from ..clients.store import Outcome, Store
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.loop import Runtime
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/peers.py
+++ b/flaxtally/cluster/peers.py
@@ -14,8 +14,8 @@
 
 import cbor2
 
-from .actor import Actor
-from .loop import Address, Runtime, Stream
+from ..runtime.actor import Actor
+from ..runtime.loop import Address, Runtime, Stream
 from .mail import Mail
 
 log = logging.getLogger(__name__)
--- a/flaxtally/emulator/coordinator.py
+++ b/flaxtally/emulator/coordinator.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from ..actor import Actor
-from ..loop import Loop, Stream
-from ..loop_delay import LoopDelay
+from ..runtime.actor import Actor
+from ..runtime.loop import Loop, Stream
+from ..runtime.loop_delay import LoopDelay
 from .history import History
 from .load import Load
 from .messages import (
--- a/flaxtally/emulator/history.py
+++ b/flaxtally/emulator/history.py
@@ -6,17 +6,9 @@
 from collections.abc import Iterable
 from itertools import pairwise
 
-from .. import wire
+from ..protocol import wire
 from .load import Load, number_of
-from .messages import (
-    ANSWERED_SUBMIT,
-    ANSWERS,
-    CANCEL_ASKED,
-    ENDED,
-    STARTED,
-    SUBMITTED,
-    Event,
-)
+from .messages import ANSWERED_SUBMIT, ANSWERS, CANCEL_ASKED, ENDED, STARTED, SUBMITTED, Event
 from .plan import Plan
 from .rules import Rules
 
--- a/flaxtally/emulator/hollow_worker.py
+++ b/flaxtally/emulator/hollow_worker.py
@@ -5,8 +5,8 @@
 import random
 from collections.abc import Callable
 
-from .. import wire
-from ..loop import Address
+from ..protocol import wire
+from ..runtime.loop import Address
 from ..standin.worker import Held, Worker
 from .load import Load, number_of
 from .measured import CountingLoop, MeasuredClient
--- a/flaxtally/emulator/limits.py
+++ b/flaxtally/emulator/limits.py
@@ -7,7 +7,7 @@
 
 import psutil
 
-from ..loop import Address
+from ..runtime.loop import Address
 from .plan import HOST, Plan
 
 FILES_PER_WORKER = 5
--- a/flaxtally/emulator/load.py
+++ b/flaxtally/emulator/load.py
@@ -10,15 +10,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from .. import wire
-from .plan import (
-    BATCH_LANE,
-    CORES_PER_TASK,
-    RAM_PER_TASK,
-    SERVICE_LANE,
-    URGENT_LANE,
-    Plan,
-)
+from ..protocol import wire
+from .plan import BATCH_LANE, CORES_PER_TASK, RAM_PER_TASK, SERVICE_LANE, URGENT_LANE, Plan
 
 REPLICAS = (2, 4, 8, 16)
 MEAN_REPLICAS = sum(REPLICAS) / len(REPLICAS)
--- a/flaxtally/emulator/measured.py
+++ b/flaxtally/emulator/measured.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..http import Client, Done, Reply
-from ..loop import Address, Loop, Stream
+from ..runtime.http import Client, Done, Reply
+from ..runtime.loop import Address, Loop, Stream
 
 
 class Traffic:
--- a/flaxtally/emulator/messages.py
+++ b/flaxtally/emulator/messages.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from .. import wire
-from ..loop import Stream
-from ..peers import Frames, encode
+from ..cluster.peers import Frames, encode
+from ..protocol import wire
+from ..runtime.loop import Stream
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/emulator/node_settings.py
+++ b/flaxtally/emulator/node_settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..loop import Address
+from ..runtime.loop import Address
 from ..settings import Objective, Settings
 from ..standin.settings_text import settings_text
 from .plan import HOST, URGENT_LANE, URGENT_SHARE, URGENT_WITHIN_S, Plan
--- a/flaxtally/emulator/outside.py
+++ b/flaxtally/emulator/outside.py
@@ -5,9 +5,9 @@
 import random
 import re
 
-from ..cloud import Bucket
-from ..http import Request
-from ..loop import Address
+from ..runtime.http import Request
+from ..runtime.loop import Address
+from ..runtime.token_bucket import TokenBucket
 from ..standin.cloud import Cloud
 from ..standin.state import StateService
 from .measured import CountingLoop
@@ -19,9 +19,9 @@
 STATE_BURST_S, CLOUD_BURST_S = 1.0, 2.0
 
 
-def _bucket(loop: CountingLoop, rate: float, burst_s: float) -> Bucket:
+def _bucket(loop: CountingLoop, rate: float, burst_s: float) -> TokenBucket:
     """PROTOCOL: bursts of so many seconds' worth are allowed."""
-    return Bucket(loop, rate, rate * burst_s)
+    return TokenBucket(loop, rate, rate * burst_s)
 
 
 class RemoteCloud(Cloud):
--- a/flaxtally/emulator/part.py
+++ b/flaxtally/emulator/part.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 from typing import Protocol
 
-from ..actor import Actor
-from ..loop_delay import LoopDelay
+from ..runtime.actor import Actor
+from ..runtime.loop_delay import LoopDelay
 from .measured import CountingLoop
 from .messages import Channel, Counters, Event, Events, Hello, LoopLate, Message, Samples
 from .plan import Plan, load
--- a/flaxtally/emulator/plan.py
+++ b/flaxtally/emulator/plan.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from .. import wire
-from ..loop import Address
+from ..protocol import wire
+from ..runtime.loop import Address
 from ..settings import Team
 
 HOST = "127.0.0.1"
--- a/flaxtally/emulator/rules.py
+++ b/flaxtally/emulator/rules.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from .. import wire
+from ..protocol import wire
 from ..settings import Team
 
 FINAL = (wire.DONE, wire.ABORTED)
--- a/flaxtally/emulator/scale.py
+++ b/flaxtally/emulator/scale.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..loop import Loop
+from ..runtime.loop import Loop
 from . import limits
 from .coordinator import Coordinator
 from .fit import FEWEST_SIZES, Fit, fit, table
--- a/flaxtally/emulator/users.py
+++ b/flaxtally/emulator/users.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from .. import wire
-from ..http import Client, Done, Reply
+from ..protocol import wire
+from ..runtime.http import Client, Done, Reply
 from .load import Load, reference
 from .measured import CountingLoop
 from .messages import (
--- a/flaxtally/emulator/workers.py
+++ b/flaxtally/emulator/workers.py
@@ -4,7 +4,7 @@
 
 import random
 
-from .. import wire
+from ..protocol import wire
 from ..settings import address
 from ..standin.worker import Held
 from .hollow_worker import HollowWorker
--- a/flaxtally/lead/consolidation.py
+++ b/flaxtally/lead/consolidation.py
@@ -5,11 +5,12 @@
 import logging
 from collections.abc import Callable
 
-from .. import consolidate, wire
-from ..fleet import Machine
 from ..ledger.book import Placement
-from ..machine_index import MachineIndex
-from ..packing import Demand
+from ..planning import consolidate
+from ..planning.fleet import Machine
+from ..planning.machine_index import MachineIndex
+from ..planning.packing import Demand
+from ..protocol import wire
 from .jobs import Jobs
 from .orders import Orders
 from .planner import Planner
--- a/flaxtally/lead/demand_forecast.py
+++ b/flaxtally/lead/demand_forecast.py
@@ -6,12 +6,12 @@
 from collections import Counter
 from dataclasses import replace
 
-from .. import fill, placement
-from ..best_effort import dear_types
-from ..forecast import Shape
 from ..ledger.book import Job
-from ..machine_index import PoolKey
-from ..packing import Demand
+from ..planning import fill, placement
+from ..planning.best_effort import dear_types
+from ..planning.machine_index import PoolKey
+from ..planning.packing import Demand
+from ..protocol.shape import Shape
 from .jobs import Jobs
 from .term import Term, TermActor
 
--- a/flaxtally/lead/failures.py
+++ b/flaxtally/lead/failures.py
@@ -4,8 +4,8 @@
 
 import logging
 
-from ..fleet import Machine
 from ..ledger.book import Job
+from ..planning.fleet import Machine
 from .jobs import Jobs
 from .term import Term, TermActor
 
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -8,10 +8,11 @@
 
 import msgspec
 
-from .. import placement, wire
-from ..forecast import Arrivals
 from ..ledger import book as records
 from ..ledger.book import Job, Placement
+from ..planning import placement
+from ..planning.forecast import Arrivals
+from ..protocol import wire
 from .known_shapes import KnownShapes
 from .orders import Orders
 from .term import Term, TermActor
--- a/flaxtally/lead/known_shapes.py
+++ b/flaxtally/lead/known_shapes.py
@@ -5,8 +5,9 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 
-from .. import placement, wire
-from ..forecast import Shape
+from ..planning import placement
+from ..protocol import wire
+from ..protocol.shape import Shape
 
 MOST_SHAPES = 256
 """Of a lane: those first seen last stand for it. Where sizes vary freely, every job has its own."""
--- a/flaxtally/leader.py
+++ b/flaxtally/lead/leader.py
@@ -12,25 +12,25 @@
 
 import msgspec
 
-from . import wire
-from .actor import Actor
-from .cloud import Cloud
-from .election import Election
-from .lead.consolidation import Consolidation
-from .lead.failures import Failures
-from .lead.jobs import Answer, Jobs
-from .lead.limits import TeamLimits
-from .lead.orders import OrderCarrier, Orders
-from .lead.planner import Planner
-from .lead.scheduler import Scheduler
-from .lead.stragglers import Stragglers
-from .lead.term import Term
-from .lead.tracker import Tracker
-from .ledger.book import Book
-from .ledger.commit import Ledger
-from .loop import Runtime
-from .policy import Policy
-from .settings import Settings
+from ..clients.cloud import Cloud
+from ..cluster.election import Election
+from ..ledger.book import Book
+from ..ledger.commit import Ledger
+from ..policy import Policy
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.loop import Runtime
+from ..settings import Settings
+from .consolidation import Consolidation
+from .failures import Failures
+from .jobs import Answer, Jobs
+from .limits import TeamLimits
+from .orders import OrderCarrier, Orders
+from .planner import Planner
+from .scheduler import Scheduler
+from .stragglers import Stragglers
+from .term import Term
+from .tracker import Tracker
 
 log = logging.getLogger(__name__)
 
--- a/flaxtally/lead/orders.py
+++ b/flaxtally/lead/orders.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from .. import wire
-from ..fleet import Machine
 from ..ledger.book import Placement
+from ..planning.fleet import Machine
+from ..protocol import wire
 from .term import Term, TermActor
 
 log = logging.getLogger(__name__)
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -8,13 +8,14 @@
 
 import msgspec
 
-from .. import fill, wire
-from ..best_effort import dear_types
-from ..cloud import MOST_RENTED
-from ..fill import Pool
-from ..fleet import Machine
+from ..clients.cloud import MOST_RENTED
 from ..ledger import book as records
-from ..packing import Demand, Rooms, pack
+from ..planning import fill
+from ..planning.best_effort import dear_types
+from ..planning.fill import Pool
+from ..planning.fleet import Machine
+from ..planning.packing import Demand, Rooms, pack
+from ..protocol import wire
 from .demand_forecast import DemandForecast
 from .jobs import Jobs
 from .orders import Orders
--- a/flaxtally/lead/preemption.py
+++ b/flaxtally/lead/preemption.py
@@ -5,10 +5,11 @@
 import logging
 from collections.abc import Callable, Collection, Hashable
 
-from .. import placement, wire
-from ..fleet import Machine
 from ..ledger.book import Job, Placement
-from ..machine_index import MachineIndex
+from ..planning import placement
+from ..planning.fleet import Machine
+from ..planning.machine_index import MachineIndex
+from ..protocol import wire
 from .claims import Claim, Claims, TaskKey
 from .jobs import Jobs
 from .orders import Orders
--- a/flaxtally/lead/rentals.py
+++ b/flaxtally/lead/rentals.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from ..fill import Pool, Rent
+from ..planning.fill import Pool, Rent
 from .term import Term, TermActor
 
 log = logging.getLogger(__name__)
--- a/flaxtally/lead/room_forecast.py
+++ b/flaxtally/lead/room_forecast.py
@@ -4,10 +4,10 @@
 
 import math
 
-from .. import wire
-from ..fleet import Machine
 from ..ledger.book import Placement
-from ..packing import Bin, Rooms
+from ..planning.fleet import Machine
+from ..planning.packing import Bin, Rooms
+from ..protocol import wire
 from .rentals import Rentals
 from .term import Term, TermActor
 
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -5,11 +5,11 @@
 import logging
 from collections.abc import Callable, Collection, Hashable
 
-from .. import placement
-from ..fleet import Machine
 from ..ledger import book as records
 from ..ledger.book import Job, Placement
-from ..machine_index import MachineIndex
+from ..planning import placement
+from ..planning.fleet import Machine
+from ..planning.machine_index import MachineIndex
 from .jobs import MOST_BACKLOG, Jobs
 from .orders import Orders
 from .preemption import Preemption
@@ -151,11 +151,11 @@
         )
         return machine if fits else None
 
-    def place_gang(self, job: Job, index: MachineIndex, one_pass: SchedulingPass) -> None:
+    def place_gang(self, job: Job, index: MachineIndex) -> int:
         """A gang starts when all its tasks have room at once; a lost task is replaced singly."""
         spec, count = job.spec, job.waiting
         if not self.jobs.within_limit(spec, count):
-            return
+            return 0
         for zones in (
             [{zone} for zone in sorted(self.fleet.zones)] if spec.one_zone else [self.fleet.zones]
         ):
@@ -163,8 +163,8 @@
             if len(chosen) == count:
                 for machine in chosen:
                     self.place(job, machine)
-                one_pass.placed += count
-                return
+                return count
+        return 0
 
     def _choose_gang(
         self, job: Job, count: int, zones: set[str], index: MachineIndex
--- a/flaxtally/lead/scheduling_pass.py
+++ b/flaxtally/lead/scheduling_pass.py
@@ -2,25 +2,48 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable
-from typing import TYPE_CHECKING, NamedTuple
+from collections.abc import Callable, Collection, Hashable
+from typing import NamedTuple, Protocol
 
-from .. import placement, wire
-from ..best_effort import dear_types
-from ..fleet import Machine
 from ..ledger.book import Job
-from ..machine_index import MachineIndex
+from ..planning import placement
+from ..planning.best_effort import dear_types
+from ..planning.fleet import Machine
+from ..planning.machine_index import MachineIndex
+from ..policy import Policy
+from ..protocol import wire
+from .jobs import Jobs
+from .preemption import Preemption
+from .term import Term
 from .waiting_queue import WaitingJob
 
-if TYPE_CHECKING:
-    from .scheduler import Scheduler
-
 MOST_PLACED = 400
 """Tasks a pass: one large array on an idle fleet must not hold up reports and users."""
 
 Keep = Callable[[Machine], bool]
 
 
+class Placer(Protocol):
+    """What a pass needs of the scheduler."""
+
+    jobs: Jobs
+    preemption: Preemption
+    policy: Policy
+    term: Term
+
+    def has_hint(self, job: Job) -> bool:
+        """Whether it is said where the job's next task is to go."""
+
+    def hinted(self, job: Job, shut: Collection[str], keep: Keep | None) -> Machine | None:
+        """Where the job's next task is to go, if it can still go there."""
+
+    def place(self, job: Job, machine: Machine) -> None:
+        """Places the job's next task."""
+
+    def place_gang(self, job: Job, index: MachineIndex) -> int:
+        """Places all tasks of a gang, or none; returns how many."""
+
+
 class _Search(NamedTuple):
     """Whom a search speaks for: those who may use the same machines, and ask for no less."""
 
@@ -39,7 +62,7 @@
     """
 
     def __init__(
-        self, scheduler: Scheduler, index: MachineIndex, grown: MachineIndex, now: float
+        self, scheduler: Placer, index: MachineIndex, grown: MachineIndex, now: float
     ) -> None:
         self._scheduler, self._now = scheduler, now
         self._jobs, self._preemption = scheduler.jobs, scheduler.preemption
@@ -84,7 +107,7 @@
             return True
         spec = job.spec
         if spec.kind == wire.GANG and not job.placed:
-            self._scheduler.place_gang(job, self._index, self)
+            self.placed += self._scheduler.place_gang(job, self._index)
             return True
         keep = self._preemption.unclaimed_by(wire.RANKS[spec.rank])
         while job.waiting and not self.is_full:
--- a/flaxtally/lead/stragglers.py
+++ b/flaxtally/lead/stragglers.py
@@ -5,9 +5,9 @@
 import logging
 from bisect import insort
 
-from .. import wire
-from ..fleet import Machine
 from ..ledger.book import Job, Placement
+from ..planning.fleet import Machine
+from ..protocol import wire
 from .jobs import Jobs
 from .orders import Orders
 from .term import Term, TermActor
--- a/flaxtally/lead/term.py
+++ b/flaxtally/lead/term.py
@@ -5,13 +5,13 @@
 import random
 from collections.abc import Callable
 
-from .. import wire
-from ..actor import Actor
-from ..cloud import Cloud
-from ..fleet import Machine
+from ..clients.cloud import Cloud
 from ..ledger.commit import Ledger
-from ..loop import Runtime
+from ..planning.fleet import Machine
 from ..policy import Policy
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.loop import Runtime
 from ..settings import Settings
 from .limits import TeamLimits
 
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -5,12 +5,12 @@
 import logging
 from functools import partial
 
-from .. import wire
-from ..cloud import MOST_RELEASED
-from ..fleet import Machine
+from ..clients.cloud import MOST_RELEASED
+from ..clients.workers import CALLED_SHARE
 from ..ledger import book as records
 from ..ledger.book import Placement
-from ..workers import CALLED_SHARE
+from ..planning.fleet import Machine
+from ..protocol import wire
 from .failures import Failures
 from .jobs import Jobs
 from .orders import Orders
--- a/flaxtally/lead/waiting_queue.py
+++ b/flaxtally/lead/waiting_queue.py
@@ -7,10 +7,10 @@
 from collections.abc import Hashable
 from typing import NamedTuple
 
-from .. import wire
 from ..ledger.book import Job
+from ..planning.urgency import Due, levels
+from ..protocol import wire
 from ..settings import Team
-from ..urgency import Due, levels
 from .term import Term, TermActor
 
 NO_DUE_TIME = 1000
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -20,8 +20,8 @@
 
 import msgspec
 
-from .. import wire
-from ..forecast import Shape
+from ..protocol import wire
+from ..protocol.shape import Shape
 
 Record = list[Any]
 JOB, TASKS, PLACED, ENDED = "J", "T", "P", "E"
--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -18,13 +18,13 @@
 
 import msgspec
 
-from .. import wire
-from ..actor import Actor
-from ..cloud import Bucket
-from ..election import LEAD
-from ..http import pack
-from ..loop import Runtime
-from ..store import Outcome, Store
+from ..clients.store import Outcome, Store
+from ..cluster.election import LEAD
+from ..protocol import wire
+from ..runtime.actor import Actor
+from ..runtime.http import pack
+from ..runtime.loop import Runtime
+from ..runtime.token_bucket import TokenBucket
 from .book import CATALOG, FINAL, JOB, Book, Record
 from .confirmation import Confirmation
 
@@ -82,7 +82,9 @@
         )
         self._page_bytes = value_bytes * 7 // 8
         self._most_pages = max(1, min(txn_ops - 2, TXN_BYTES // value_bytes))
-        self._bucket = Bucket(runtime, write_rps * 0.85, max(self._most_pages, write_rps * 0.5))
+        self._bucket = TokenBucket(
+            runtime, write_rps * 0.85, max(self._most_pages, write_rps * 0.5)
+        )
         self.generation = 0
         self._reset(0)
 
--- a/flaxtally/ledger/confirmation.py
+++ b/flaxtally/ledger/confirmation.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Callable
 
-from ..actor import Actor
-from ..election import LEAD
-from ..loop import Runtime
-from ..store import Outcome, Store
+from ..clients.store import Outcome, Store
+from ..cluster.election import LEAD
+from ..runtime.actor import Actor
+from ..runtime.loop import Runtime
 
 
 class _Request:
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -6,22 +6,22 @@
 import random
 from typing import TYPE_CHECKING
 
-from .cloud import Cloud
-from .dispatch import Dispatch
-from .election import Election
-from .http import Server
-from .intake import Intake
+from .api.dispatch import Dispatch
+from .api.intake import Intake
+from .clients.cloud import Cloud
+from .clients.store import Store
+from .clients.workers import CALLED_SHARE, Workers
+from .cluster.election import Election
+from .cluster.mail import Mail
+from .cluster.peers import Frame, Peers
+from .lead.leader import Leader
 from .lead.limits import SettingsLimits, TeamLimits
-from .leader import Leader
 from .ledger.commit import Ledger
-from .loop import Runtime
-from .loop_delay import LoopDelay
-from .mail import Mail
-from .peers import Frame, Peers
 from .policy import Policy
+from .runtime.http import Server
+from .runtime.loop import Runtime
+from .runtime.loop_delay import LoopDelay
 from .settings import Settings
-from .store import Store
-from .workers import CALLED_SHARE, Workers
 
 if TYPE_CHECKING:
     from .cells.membership import CellSetup, Membership
--- a/flaxtally/best_effort.py
+++ b/flaxtally/planning/best_effort.py
@@ -9,8 +9,8 @@
 import math
 from collections.abc import Mapping
 
-from . import wire
-from .forecast import Shape
+from ..protocol import wire
+from ..protocol.shape import Shape
 from .placement import GpuNeeds, allowed
 
 Dear = frozenset[tuple[str, bool]]
--- a/flaxtally/consolidate.py
+++ b/flaxtally/planning/consolidate.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 
-from . import wire
+from ..ledger.book import Job, Placement
+from ..protocol import wire
 from .fleet import Machine
-from .ledger.book import Job, Placement
 from .machine_index import MachineIndex
 from .placement import GpuNeeds, choose
 
--- a/flaxtally/fill.py
+++ b/flaxtally/planning/fill.py
@@ -13,7 +13,7 @@
 from collections.abc import Hashable, Iterable
 from dataclasses import dataclass, replace
 
-from . import wire
+from ..protocol import wire
 from .packing import Bin, Demand, Rooms, pack, slots, take
 from .placement import GpuNeeds
 
--- a/flaxtally/fleet.py
+++ b/flaxtally/planning/fleet.py
@@ -4,8 +4,8 @@
 
 from collections import OrderedDict
 
-from . import wire
-from .ledger.book import Placement
+from ..ledger.book import Placement
+from ..protocol import wire
 
 DEAF_AFTER = 2
 """Orders in a row without an answer."""
--- a/flaxtally/forecast.py
+++ b/flaxtally/planning/forecast.py
@@ -4,43 +4,6 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
-
-from . import wire
-
-
-@dataclass(frozen=True)
-class Shape:
-    """Tasks that are alike to the planner."""
-
-    lane: str
-    cores: float
-    gpus: float
-    ram: float
-    types: tuple[str, ...] | None
-    zone: str | None
-    spot: bool
-    service: bool
-    rank: int
-
-    @property
-    def best_effort(self) -> bool:
-        """Whether it is of the lowest rank and runs to an end."""
-        return not self.service and self.rank == wire.RANKS["idle"]
-
-    @classmethod
-    def of(cls, spec: wire.Spec) -> Shape:
-        return cls(
-            spec.lane,
-            round(spec.cores, 1),
-            spec.gpus,
-            spec.ram,
-            spec.types,
-            spec.zone,
-            spec.spot,
-            spec.kind == wire.SERVICE,
-            wire.RANKS[spec.rank],
-        )
 
 
 class _RecentJobs:
--- a/flaxtally/machine_index.py
+++ b/flaxtally/planning/machine_index.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Collection, Hashable, Iterable, Iterator, Sequence
 from typing import Any, NamedTuple
 
-from . import wire
+from ..protocol import wire
 from .fleet import Machine
 from .placement import SLACK, WIDEN, GpuNeeds, allowed, leaves_gpus_usable, room
 
--- a/flaxtally/packing.py
+++ b/flaxtally/planning/packing.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
-from . import wire
+from ..protocol import wire
+from ..protocol.shape import Shape
 from .best_effort import NOTHING_DEAR, Dear
-from .forecast import Shape
 from .placement import SLACK, GpuNeeds, allowed
 
 ANY_NUMBER = 1_000_000
--- a/flaxtally/placement.py
+++ b/flaxtally/planning/placement.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
-from . import wire
+from ..protocol import wire
+from ..protocol.shape import Shape
 from .fleet import Machine
-from .forecast import Shape
 
 SLACK = 1e-6
 WIDEN = 4
--- a/flaxtally/settings.py
+++ b/flaxtally/settings.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from .loop import Address
+from .runtime.loop import Address
 
 
 class SettingsError(Exception):
--- a/flaxtally/standin/cloud.py
+++ b/flaxtally/standin/cloud.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from .. import wire
-from ..cloud import Bucket
-from ..http import Request, Server
-from ..loop import Address, Runtime
+from ..protocol import wire
+from ..runtime.http import Request, Server
+from ..runtime.loop import Address, Runtime
+from ..runtime.token_bucket import TokenBucket
 
 MOST_LISTED = 500
 """PROTOCOL: machines a page of the list."""
@@ -51,7 +51,7 @@
         self._asked_at: dict[str, float] = {}
         self._answers: dict[str, list[str]] = {}
         self.down = False
-        self.limit: Bucket | None = None
+        self.limit: TokenBucket | None = None
         """PROTOCOL: above it requests are answered 429; None: unlimited."""
         self.limited = 0
         """Requests that were answered 429."""
--- a/flaxtally/standin/demo.py
+++ b/flaxtally/standin/demo.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from .. import wire
 from ..ledger import book as records
-from ..loop import Address, Loop
+from ..protocol import wire
+from ..runtime.loop import Address, Loop
 from ..settings import Settings, Team
 from .cloud import Cloud, equal_pools
 from .settings_text import settings_text
--- a/flaxtally/standin/settings_text.py
+++ b/flaxtally/standin/settings_text.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..loop import Address
+from ..runtime.loop import Address
 from ..settings import Objective, Settings, Team
 
 
--- a/flaxtally/standin/state.py
+++ b/flaxtally/standin/state.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from .. import wire
-from ..cloud import Bucket
-from ..http import Request, Server
-from ..loop import Address, Runtime
+from ..protocol import wire
+from ..runtime.http import Request, Server
+from ..runtime.loop import Address, Runtime
+from ..runtime.token_bucket import TokenBucket
 
 
 class StateService:
@@ -40,9 +40,9 @@
         self.over_limit: list[str] = []
         """Transactions beyond `txn_ops` or `value_bytes`, said in words; they are carried out."""
         self.txn_ops, self.value_bytes = 32, 8 * 1024
-        self.request_limit: Bucket | None = None
+        self.request_limit: TokenBucket | None = None
         """PROTOCOL: above it requests are answered 429; None: unlimited."""
-        self.change_limit: Bucket | None = None
+        self.change_limit: TokenBucket | None = None
         """The same for puts and drops, those of failed transactions too."""
         self.limited = 0
         """Requests that were answered 429."""
--- a/flaxtally/standin/worker.py
+++ b/flaxtally/standin/worker.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from .. import wire
-from ..http import Client, Reply, Request, Server
-from ..loop import Address, Runtime, Timer
+from ..protocol import wire
+from ..runtime.http import Client, Reply, Request, Server
+from ..runtime.loop import Address, Runtime, Timer
 
 
 class Held:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -6,13 +6,13 @@
 
 import msgspec
 
-from flaxtally import wire
 from flaxtally.cells.allotment import SHARES
 from flaxtally.cells.map import Cell, CellFile, CellMap
 from flaxtally.cells.map_keeper import MAP_KEY
 from flaxtally.cells.membership import CellSetup
 from flaxtally.cells.shares import Amount, TeamShares, limit_of
 from flaxtally.ledger import book as records
+from flaxtally.protocol import wire
 from flaxtally.settings import Settings, Team
 
 from .world import STATE, World
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from flaxtally import wire
+from flaxtally.protocol import wire
 
 from .world import World, batch, spec
 
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from flaxtally.loop import Address, Stream, Timer
-from flaxtally.loop_delay import LoopDelay
+from flaxtally.runtime.loop import Address, Stream, Timer
+from flaxtally.runtime.loop_delay import LoopDelay
 
 
 def nothing(*_: Any) -> None:
--- a/tests/test_allotment.py
+++ b/tests/test_allotment.py
@@ -9,7 +9,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flaxtally import wire
 from flaxtally.cells.allotment import CLAIMS, SHARES, Allotment
 from flaxtally.cells.shares import (
     TOLERANCE,
@@ -21,9 +20,10 @@
     limit_of,
     share_as_team,
 )
+from flaxtally.clients.store import Store
+from flaxtally.protocol import wire
 from flaxtally.settings import Team
 from flaxtally.standin.state import StateService
-from flaxtally.store import Store
 
 from .sim import Sim
 from .test_sockets import play
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from flaxtally import wire
-from flaxtally.peers import FRAME_LIMIT, encode
+from flaxtally.cluster.peers import FRAME_LIMIT, encode
+from flaxtally.protocol import wire
 
 from .scenarios import term
 from .world import World, spec
--- a/tests/test_cell_map.py
+++ b/tests/test_cell_map.py
@@ -15,7 +15,7 @@
 from flaxtally.cli import main
 from flaxtally.emulator.node_settings import settings_page
 from flaxtally.emulator.plan import Plan
-from flaxtally.loop import Loop
+from flaxtally.runtime.loop import Loop
 from flaxtally.settings import load
 from flaxtally.standin.state import StateService
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -5,13 +5,13 @@
 import msgspec
 import pytest
 
-from flaxtally import wire
 from flaxtally.cells.allotment import SHARES
 from flaxtally.cells.directory import JOBS
 from flaxtally.cells.map import CellMap
 from flaxtally.cells.map_keeper import MAP_KEY
-from flaxtally.election import LEAD
-from flaxtally.http import Request
+from flaxtally.cluster.election import LEAD
+from flaxtally.protocol import wire
+from flaxtally.runtime.http import Request
 from flaxtally.settings import Team
 
 from .cell_world import CELL_NODES, NORTH, SOUTH, CellWorld, cell_map
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -12,10 +12,9 @@
 import msgspec
 import pytest
 
-from flaxtally import wire
 from flaxtally.cells.map import CellIndex, read_file
 from flaxtally.cli import main
-from flaxtally.cloud import Bucket
+from flaxtally.cluster.peers import encode
 from flaxtally.emulator import limits
 from flaxtally.emulator.fit import fit
 from flaxtally.emulator.history import History
@@ -44,8 +43,9 @@
     percentiles,
 )
 from flaxtally.emulator.scale import ScaleResult, combine, save
-from flaxtally.http import Client, Reply, Request, Server
-from flaxtally.peers import encode
+from flaxtally.protocol import wire
+from flaxtally.runtime.http import Client, Reply, Request, Server
+from flaxtally.runtime.token_bucket import TokenBucket
 from flaxtally.settings import parse
 from flaxtally.standin.settings_text import settings_text
 from flaxtally.standin.state import StateService
@@ -234,7 +234,7 @@
     where = ("10.2.0.1", 2379)
     host = sim.host(where[0])
     service = StateService(host, where)
-    service.change_limit = Bucket(host, 10.0, 10.0)
+    service.change_limit = TokenBucket(host, 10.0, 10.0)
     user = Answers(sim.host("10.3.0.1"), where)
     for number in range(15):
         user.ask("POST", wire.TXN, wire.txn({}, {f"k/{number}": 1}, []))
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -12,8 +12,8 @@
 import msgspec
 import pytest
 
-from flaxtally import wire
-from flaxtally.peers import encode
+from flaxtally.cluster.peers import encode
+from flaxtally.protocol import wire
 from flaxtally.settings import Objective, Team
 
 from .scenarios import busy, change_leader, cut_zone, ends_well, leader_of, steady_work, term
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -8,11 +8,11 @@
 import msgspec
 import pytest
 
-from flaxtally import wire
-from flaxtally.fleet import Machine
 from flaxtally.lead.scheduler import Scheduler
 from flaxtally.lead.scheduling_pass import MOST_PLACED
 from flaxtally.ledger.book import Job
+from flaxtally.planning.fleet import Machine
+from flaxtally.protocol import wire
 from flaxtally.settings import Objective, Team
 
 from .scenarios import ends_well, leader_of
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,346 @@
+"""Parts that must not grow with the fleet: searches, packing, mail, the cloud's list."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from flaxtally.cluster.mail import MOST_INFLATED, fold, unfold
+from flaxtally.lead.known_shapes import MOST_SHAPES, KnownShapes
+from flaxtally.planning.fleet import Machine
+from flaxtally.planning.forecast import Arrivals
+from flaxtally.planning.machine_index import MachineIndex
+from flaxtally.planning.packing import Bin, Demand, Rooms, pack
+from flaxtally.planning.placement import WIDEN, GpuNeeds, allowed, leaves_gpus_usable, room
+from flaxtally.protocol import wire
+from flaxtally.protocol.shape import Shape
+from flaxtally.settings import Team, parse, read_toml
+from flaxtally.standin.settings_text import settings_text
+
+from .world import TYPES, World, batch, spec
+
+KINDS = {kind.name: kind for kind in TYPES}
+SAMPLE = 24
+LONG = 60_000
+"""Bytes: nearly the longest body."""
+
+
+# The index
+
+amounts = st.sampled_from((0.0, 0.5, 3.0, 4.0, 7.9, 8.0, 15.5, 16.0))
+machines = st.lists(
+    st.tuples(
+        st.sampled_from(("c16", "g8")),
+        st.sampled_from("ab"),
+        st.booleans(),
+        amounts,
+        st.integers(0, 8),
+        amounts,
+        st.booleans(),
+        st.sampled_from(("", "img-1", "img-2")),
+    ),
+    max_size=40,
+)
+
+
+def make(number: int, drawn: tuple) -> Machine:  # type: ignore[type-arg]
+    kind, zone, spot, cores, gpus, ram, slow, image = drawn
+    machine = Machine(f"n-{number}", kind, zone, spot, 0.0)
+    machine.cores, machine.ram, machine.slow = cores, ram * 4, slow
+    machine.gpus = float(gpus) if kind == "g8" else 0.0
+    if image:
+        machine.note_image(image, 1.0, 40.0)
+    return machine
+
+
+def fits(machine: Machine, job: wire.Spec, needs: GpuNeeds | None, shut: frozenset[str]) -> bool:
+    """What the index must find, machine by machine."""
+    kind = KINDS[machine.kind]
+    left = room(machine, kind)
+    return (
+        machine.zone not in shut
+        and allowed(job, kind, machine.zone, machine.spot)
+        and left.holds(job)
+        and (job.kind == wire.SERVICE or needs is None or not machine.slow)
+        and (needs is None or leaves_gpus_usable(job, left, kind, needs))
+    )
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    machines,
+    machines,
+    st.integers(0, 1),
+    st.sampled_from((0.0, 1.0, 3.0)),
+    st.sampled_from((1.0, 3.0, 8.0)),
+    st.booleans(),
+    st.booleans(),
+    st.sampled_from((frozenset(), frozenset("a"), frozenset("ab"))),
+)
+def test_the_index_finds_a_machine_just_when_there_is_one(
+    before: list[tuple],  # type: ignore[type-arg]
+    after: list[tuple],  # type: ignore[type-arg]
+    gpus: int,
+    kept: float,
+    cores: float,
+    spot: bool,
+    service: bool,
+    shut: frozenset[str],
+) -> None:
+    rng = random.Random(1)
+    index = MachineIndex(KINDS, rng)
+    known = [make(number, drawn) for number, drawn in enumerate(before)]
+    for machine in known:
+        index.update(machine)
+    # What is known of them changes, some go, some are new.
+    for number, drawn in enumerate(after):
+        if number < len(known):
+            _, _, _, used, taken, ram, slow, image = drawn
+            machine = known[number]
+            machine.cores, machine.ram, machine.slow = used, ram * 4, slow
+            machine.gpus = float(taken) if machine.kind == "g8" else 0.0
+            if image:
+                machine.note_image(image, 1.0, 1.0)
+        else:
+            known.append(make(number, drawn))
+        index.update(known[number])
+    for machine in known[::5]:
+        index.remove(machine)
+    known = [machine for number, machine in enumerate(known) if number % 5]
+    kind, rank = (wire.SERVICE, "critical") if service else (wire.ARRAY, "standard")
+    job = spec("j-000001", cores=cores, gpus=float(gpus), ram=8.0, kind=kind, rank=rank, spot=spot)
+    for needs in (None, GpuNeeds(kept, 4.0)):
+        found = index.fitting(job, shut, needs, SAMPLE)
+        right = [machine for machine in known if fits(machine, job, needs, shut)]
+        assert set(found) <= set(right)
+        assert len(found) == len(set(found))
+        assert bool(found) == bool(right)
+        holding = [machine for machine in right if "img-1" in machine.images]
+        if holding:
+            assert set(found) <= set(holding)
+
+
+def test_a_search_in_a_full_fleet_of_thousands_looks_at_the_few_with_room() -> None:
+    # A pass looked at every machine for each shape that waited.
+    index = MachineIndex(KINDS, random.Random(1))
+    fleet = [Machine(f"n-{number}", "c16", "ab"[number % 2], False, 0.0) for number in range(4000)]
+    for number, machine in enumerate(fleet):
+        machine.cores = 10.0 if number % 1000 == 7 else 15.0
+        machine.note_image("img-1", 1.0, 40.0)
+        index.update(machine)
+    job = spec("j-000001", cores=5.0)
+    found = index.fitting(job, (), GpuNeeds(), SAMPLE)
+    assert {machine.name for machine in found} == {
+        f"n-{number}" for number in (7, 1007, 2007, 3007)
+    }
+    assert index.looked == 4
+    assert index.fitting(spec("j-000002", cores=7.0), (), GpuNeeds(), SAMPLE) == []
+    assert index.looked == 4
+    # An empty one: a sample, whatever the size.
+    for machine in fleet:
+        machine.cores = 0.0
+        index.update(machine)
+    index.looked = 0
+    assert len(index.fitting(job, (), GpuNeeds(), SAMPLE)) == SAMPLE
+    assert index.looked <= WIDEN * SAMPLE
+
+
+def test_what_falls_silent_without_an_event_is_not_found() -> None:
+    silent: set[Machine] = set()
+    index = MachineIndex(KINDS, random.Random(1), lambda machine: machine not in silent)
+    one, two = (Machine(f"n-{number}", "c16", "a", False, 0.0) for number in range(2))
+    index.update(one)
+    index.update(two)
+    silent.add(one)
+    assert index.fitting(spec("j-000001"), (), GpuNeeds(), SAMPLE) == [two]
+    assert list(index.walk(spec("j-000001"), ())) == [(two, KINDS["c16"])]
+    assert not index.update(one)
+    assert one not in index
+    silent.clear()
+    assert index.update(one)
+
+
+# Packing
+
+shapes = st.tuples(
+    st.sampled_from((0.5, 2.0, 5.0)), st.sampled_from((0.0, 1.0, 4.0)), st.integers(0, 30)
+)
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(shapes, min_size=1, max_size=5), machines)
+def test_full_rooms_that_are_left_out_hold_nothing(
+    drawn: list[tuple[float, float, int]],
+    drawn_machines: list[tuple],  # type: ignore[type-arg]
+) -> None:
+    needs = GpuNeeds(2.0, 8.0)
+
+    def bins() -> list[Bin]:
+        return [
+            Bin(KINDS[kind], zone, spot, 16.0 - cores, float(8 - gpus), 64.0 - 4 * ram)
+            for kind, zone, spot, cores, gpus, ram, _, _ in drawn_machines
+        ]
+
+    def demands() -> list[Demand]:
+        sizes = [
+            msgspec.structs.replace(batch("j-000001", 1), cores=cores, gpus=gpus)
+            for cores, gpus, _ in drawn
+        ]
+        return [
+            Demand(Shape.of(size), count, 60.0)
+            for size, (_, _, count) in zip(sizes, drawn, strict=True)
+        ]
+
+    whole, less = Rooms(bins()), Rooms(bins())
+    less.drop_full(demands(), needs)
+    left = [pack(demand, whole, needs) for demand in demands()]
+    assert [pack(demand, less.copy(), needs) for demand in demands()[:1]] == left[:1]
+    assert [pack(demand, less, needs) for demand in demands()] == left
+
+
+def with_ram(ram: float) -> wire.Spec:
+    return msgspec.structs.replace(batch("j-000001", 1), ram=ram)
+
+
+def test_shapes_that_vary_freely_are_kept_in_bounds() -> None:
+    # Where sizes vary, every job had a shape of its own, for ever, and each new one had all of them
+    # looked at.
+    known = KnownShapes()
+    for number in range(4 * MOST_SHAPES):
+        job = with_ram(16.0 + number / 100)
+        known.note(Shape.of(job), job)
+    gate = spec("j-900000", gpus=2.0, cores=8.0, ram=4.0)
+    known.note(Shape.of(gate), gate)
+    assert len(known._lanes["batch"]) == MOST_SHAPES
+    last = with_ram(16.0 + (4 * MOST_SHAPES - 1) / 100)
+    assert known.is_typical(Shape.of(last))
+    assert not known.is_typical(Shape.of(batch("j-000001", 1)))
+    assert [shape.lane for shape, _ in known.typical()] == ["batch", "gate"]
+    # Of the class that takes most on average, as of the shapes that are kept.
+    assert known.gpu_needs.cores == 4.0
+    mean = sum(16.0 + number / 100 for number in range(3 * MOST_SHAPES, 4 * MOST_SHAPES))
+    assert abs(known.gpu_needs.ram - mean / MOST_SHAPES) < 1e-6
+
+
+@given(st.lists(st.tuples(st.sampled_from("xy"), st.integers(1, 9), st.floats(0, 50)), max_size=30))
+def test_the_sums_of_recent_arrivals_are_those_of_the_window(
+    came: list[tuple[str, int, float]],
+) -> None:
+    arrivals, jobs = Arrivals(10.0, 1.0), []
+    for number, (lane, tasks, length) in enumerate(came):
+        arrivals.note(lane, tasks, length, float(number))
+        jobs.append((float(number), lane, tasks, length))
+        now = number + 0.5
+        recent = [(n, s) for at, of, n, s in jobs if of == lane and at >= now - 10.0]
+        mean = sum(n * s for n, s in recent) / max(1, sum(n for n, _ in recent))
+        assert abs(arrivals.length(lane, now) - mean) < 1e-6
+        assert arrivals.largest(lane, now) == max(n for n, _ in recent)
+
+
+# Mail
+
+
+def report(number: int) -> dict[str, object]:
+    body = msgspec.msgpack.encode([f"j-{number:06d}/{task}" for task in range(9)])
+    return {"k": "rep", "t": 1, "m": f"n-{number:06d}", "b": body}
+
+
+def test_what_does_not_fit_into_a_batch_waits_and_each_machine_gets_its_turn() -> None:
+    # The oldest frames of what did not fit were dropped: of 2,000 machines of a cut-off zone most
+    # were never heard, and orders were lost with the reports.
+    most = 7000
+    frames = [report(number) for number in range(2000)]
+    heard: list[str] = []
+    batches = 0
+    while frames:
+        text, count = fold(frames, most, 1.0)
+        assert count > 0
+        assert len(text) <= most
+        at, found = unfold(text)
+        assert at == 1.0
+        assert found == frames[:count]
+        heard += [str(frame["m"]) for frame in found]
+        frames = frames[count:]
+        batches += 1
+    assert heard == [f"n-{number:06d}" for number in range(2000)]
+    assert batches < 40
+
+
+def test_a_batch_can_be_read_whatever_its_frames_hold() -> None:
+    # Long frames of one letter are short when compressed; the reader takes no more than so much.
+    frames = [{"k": "rep", "m": f"n-{number}", "b": b"x" * LONG} for number in range(100)]
+    text, count = fold(frames, 7000, 1.0)
+    assert 0 < count <= MOST_INFLATED // LONG
+    assert unfold(text) == (1.0, frames[:count])
+
+
+def test_a_frame_that_fits_no_batch_is_told_and_holds_up_no_other() -> None:
+    noise = random.Random(1).randbytes(9000)
+    assert fold([{"k": "ord", "o": noise}], 7000, 1.0)[1] == 0
+    world = World()
+    assert world.until(lambda: world.leader() is not None, 10)
+    one = world.nodes["hearth-0"].peers.mail
+    assert one is not None
+    one.post("hearth-1", {"k": "ord", "o": noise})
+    one.post("hearth-1", {"k": "rep", "m": "n-1", "b": b"new"})
+    one.post("hearth-1", {"k": "rep", "m": "n-1", "b": b"newer"})
+    one.post("hearth-1", {"k": "hb"})
+    box = one._boxes["hearth-1"]
+    assert [frame["k"] for frame in box.in_order()] == ["hb", "ord", "rep"]
+    box.version = 0
+    one._write("hearth-1", box)
+    assert [frame.get("b") for frame in box.in_order()] == [b"newer"]
+    one.post("hearth-1", {"k": "ask", "i": 1})
+    box.forget(world.sim.time + 1.0)
+    assert [frame["k"] for frame in box.in_order()] == ["rep"]
+    box.clear()
+    assert not box.holds_any
+
+
+# The cloud's list
+
+
+def test_one_list_of_the_cloud_at_a_time_and_half_the_calls_for_others() -> None:
+    # At 6,000 machines a list is twelve calls, and took longer than the step between two: lists
+    # were asked for faster than they came.
+    world = World()
+    world.submit(spec("j-000001", tasks=2))
+    assert world.until(lambda: world.count("j-000001") == 2, 60)
+    tracker = world.nodes[world.leader() or ""].leader.tracker
+    asked: list[tuple[float, Callable[[object], None]]] = []
+    tracker.cloud.listing = lambda done: asked.append((world.sim.time, done))
+    world.run(30.0)
+    assert len(asked) == 1
+    began, done = asked[0]
+    took = world.sim.time - began
+    done(None)
+    ended = world.sim.time
+    world.run(took - 1.0)
+    assert len(asked) == 1
+    world.run(8.0)
+    assert len(asked) == 2
+    assert asked[1][0] >= ended + took
+
+
+# Settings
+
+
+def test_a_settings_file_of_the_largest_deployment_is_sound(tmp_path: Path) -> None:
+    world = World(nodes=tuple(f"hearth-{number}" for number in range(27)))
+    settings_of_one = world.settings_of("hearth-0")
+    teams = {f"t-{n}": Team(f"t-{n}", 10.0, 20.0, 1.0, 2.0) for n in range(750)}
+    zones = tuple(f"zone-{number}" for number in range(23))
+    large = dataclasses.replace(
+        settings_of_one, teams=teams, zones=zones, zone=zones[0], max_sockets=24_000
+    )
+    path = tmp_path / "node.toml"
+    path.write_text(settings_text(large))
+    read = parse(read_toml(str(path)))
+    assert (len(read.teams), len(read.zones), len(read.peers)) == (750, 23, 26)
+    assert read.max_sockets == 24_000
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from flaxtally import wire
-from flaxtally.dispatch import Dispatch
-from flaxtally.peers import Peers
+from flaxtally.api.dispatch import Dispatch
+from flaxtally.cluster.peers import Peers
+from flaxtally.protocol import wire
 from flaxtally.standin.worker import Worker
 
 from .scenarios import busy, cut_controllers, ends_well, leader_of, term
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from flaxtally import wire
-from flaxtally.http import MOST_BUFFERED
-from flaxtally.loop import FEW_TIMERS, Loop
-from flaxtally.loop_delay import DelayMonitor, LoopDelay, callback_name
+from flaxtally.protocol import wire
+from flaxtally.runtime.http import MOST_BUFFERED
+from flaxtally.runtime.loop import FEW_TIMERS, Loop
+from flaxtally.runtime.loop_delay import DelayMonitor, LoopDelay, callback_name
 
 from .scenarios import leader_of
 from .world import World, spec
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from flaxtally import wire
+from flaxtally.protocol import wire
 
 from .scenarios import busy, ends_well, leader_of, steady_work
 from .world import STATE, World, batch, spec
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -12,19 +12,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from flaxtally import wire
+from flaxtally.api.dispatch import owner
 from flaxtally.cli import main
-from flaxtally.consolidate import pick
-from flaxtally.dispatch import owner
-from flaxtally.fill import Pool, plan
-from flaxtally.fleet import Machine
-from flaxtally.forecast import Arrivals, Shape
-from flaxtally.http import BadMessage, Parser
+from flaxtally.cluster.peers import Frames, encode
 from flaxtally.ledger.book import Book, BookError
-from flaxtally.machine_index import MachineIndex
-from flaxtally.packing import Bin, Demand, Rooms, pack
-from flaxtally.peers import Frames, encode
-from flaxtally.placement import GpuNeeds, choose, gpu_needs
+from flaxtally.planning.consolidate import pick
+from flaxtally.planning.fill import Pool, plan
+from flaxtally.planning.fleet import Machine
+from flaxtally.planning.forecast import Arrivals
+from flaxtally.planning.machine_index import MachineIndex
+from flaxtally.planning.packing import Bin, Demand, Rooms, pack
+from flaxtally.planning.placement import GpuNeeds, choose, gpu_needs
+from flaxtally.protocol import wire
+from flaxtally.protocol.shape import Shape
+from flaxtally.runtime.http import BadMessage, Parser
 from flaxtally.settings import SettingsError, parse
 
 from .world import TYPES, batch, spec
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from flaxtally import wire
-from flaxtally.loop import Loop
+from flaxtally.protocol import wire
+from flaxtally.runtime.loop import Loop
 
 from .scenarios import busy, ends_well, leader_of, steady_work, term
 from .world import World, batch, spec
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,8 @@
 import msgspec
 import pytest
 
-from flaxtally import wire
 from flaxtally.emulator.rules import Rules
+from flaxtally.protocol import wire
 from flaxtally.settings import Team
 
 from .world import CANCEL_S, TYPES, batch, spec
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -6,19 +6,19 @@
 
 import pytest
 
-from flaxtally import wire
-from flaxtally.consolidate import takes
-from flaxtally.fill import merged
-from flaxtally.fleet import Machine
-from flaxtally.forecast import Shape
 from flaxtally.lead.planner import MOST_CHECKS, Planner
 from flaxtally.ledger.book import Job, Placement
-from flaxtally.loop import Loop
-from flaxtally.machine_index import MachineIndex
-from flaxtally.packing import Demand
-from flaxtally.placement import Exhausted
+from flaxtally.planning.consolidate import takes
+from flaxtally.planning.fill import merged
+from flaxtally.planning.fleet import Machine
+from flaxtally.planning.machine_index import MachineIndex
+from flaxtally.planning.packing import Demand
+from flaxtally.planning.placement import Exhausted
+from flaxtally.planning.urgency import Due, levels
+from flaxtally.protocol import wire
+from flaxtally.protocol.shape import Shape
+from flaxtally.runtime.loop import Loop
 from flaxtally.settings import Team
-from flaxtally.urgency import Due, levels
 
 from .world import TYPES, World, batch, spec
 
--- a/tests/test_slow_processor.py
+++ b/tests/test_slow_processor.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from flaxtally import wire
+from flaxtally.protocol import wire
 
 from .scenarios import busy, leader_of, term
 from .world import World, spec
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from flaxtally.http import Client, Request, Server
-from flaxtally.workers import Workers
+from flaxtally.clients.workers import Workers
+from flaxtally.runtime.http import Client, Request, Server
 
 from .sim import Host, Sim
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -3,9 +3,9 @@
 
 from __future__ import annotations
 
-from flaxtally import wire
-from flaxtally.election import LEAD
-from flaxtally.http import Request
+from flaxtally.cluster.election import LEAD
+from flaxtally.protocol import wire
+from flaxtally.runtime.http import Request
 from flaxtally.settings import Objective, Team
 from flaxtally.standin.worker import Worker
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,12 +9,13 @@
 
 import msgspec
 
-from flaxtally import policy, wire
+from flaxtally import policy
 from flaxtally.cells.membership import CellSetup
 from flaxtally.emulator.rules import Rules
-from flaxtally.http import Client, Reply
 from flaxtally.ledger import book as records
 from flaxtally.node import Node
+from flaxtally.protocol import wire
+from flaxtally.runtime.http import Client, Reply
 from flaxtally.settings import Objective, Settings, Team
 from flaxtally.standin.cloud import Cloud, equal_pools
 from flaxtally.standin.state import StateService
--- a/tools/limits.py
+++ b/tools/limits.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from flaxtally import wire
 from flaxtally.ledger.book import Book, Record
+from flaxtally.protocol import wire
 
 
 def spec(number: int) -> wire.Spec:
--- a/tools/profile_controller.py
+++ b/tools/profile_controller.py
@@ -28,26 +28,30 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from flaxtally import wire
+from flaxtally.protocol import wire
 from flaxtally.settings import Settings, Team
 from tests import sim, world
 
 DUTIES: dict[str, list[str]] = {
     "reports": [
-        "dispatch:Dispatch.beat",
-        "dispatch:Dispatch.forwarded",
+        "api.dispatch:Dispatch.beat",
+        "api.dispatch:Dispatch.forwarded",
         "lead.tracker:Tracker.on_report",
     ],
     "users": [
-        "intake:Intake.handle",
-        "intake:Intake.asked",
-        "intake:Intake.answered",
-        "intake:Intake._renew",
+        "api.intake:Intake.handle",
+        "api.intake:Intake.asked",
+        "api.intake:Intake.answered",
+        "api.intake:Intake._renew",
     ],
-    "peers": ["peers:Peers.send", "peers:Peers._flush", "peers:Frames.feed"],
-    "mail": ["mail:Mail._turn"],
-    "heartbeats": ["election:Election._beat", "election:Election.heartbeat"],
-    "leader key": ["election:Election._probe", "election:Election._read"],
+    "peers": [
+        "cluster.peers:Peers.send",
+        "cluster.peers:Peers._flush",
+        "cluster.peers:Frames.feed",
+    ],
+    "mail": ["cluster.mail:Mail._turn"],
+    "heartbeats": ["cluster.election:Election._beat", "cluster.election:Election.heartbeat"],
+    "leader key": ["cluster.election:Election._probe", "cluster.election:Election._read"],
     "commit": [
         "ledger.commit:Ledger.propose",
         "ledger.commit:Ledger._commit",
@@ -55,8 +59,12 @@
         "ledger.confirmation:Confirmation._ask",
     ],
     "cleaning": ["ledger.commit:Ledger.clean"],
-    "replay": ["ledger.commit:Ledger.open", "leader:Leader._ready"],
-    "orders": ["lead.orders:Orders._send", "dispatch:Dispatch.order", "dispatch:Dispatch.carried"],
+    "replay": ["ledger.commit:Ledger.open", "lead.leader:Leader._ready"],
+    "orders": [
+        "lead.orders:Orders._send",
+        "api.dispatch:Dispatch.order",
+        "api.dispatch:Dispatch.carried",
+    ],
     "pass": ["lead.scheduler:Scheduler._schedule"],
     "plan": ["lead.planner:Planner.plan"],
     "consolidation": [
@@ -64,8 +72,16 @@
         "lead.consolidation:Consolidation.continue_moves",
     ],
     "watch": ["lead.tracker:Tracker.watch", "lead.stragglers:Stragglers.watch"],
-    "http server": ["http:ServerConn._data", "http:ServerConn.answer", "http:Server._accept"],
-    "http client": ["http:Client.request", "http:Client._data", "http:Client._expired"],
+    "http server": [
+        "runtime.http:ServerConn._data",
+        "runtime.http:ServerConn.answer",
+        "runtime.http:Server._accept",
+    ],
+    "http client": [
+        "runtime.http:Client.request",
+        "runtime.http:Client._data",
+        "runtime.http:Client._expired",
+    ],
 }
 LOOP = "other"
 LEADER, FOLLOWER, STAND_INS = "leader", "follower", "stand-ins"
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -19,15 +19,15 @@
 
 import msgspec
 
-from flaxtally import wire
+from flaxtally.api.dispatch import owner
 from flaxtally.cells.directory import Directory, Entry
 from flaxtally.cells.map import Cell, CellIndex, CellMap
 from flaxtally.cells.shares import Amount, TeamShares, equal_shares
-from flaxtally.dispatch import owner
 from flaxtally.emulator.fit import fit, table
-from flaxtally.fleet import Machine
-from flaxtally.http import pack
 from flaxtally.ledger.book import FINAL, Book
+from flaxtally.planning.fleet import Machine
+from flaxtally.protocol import wire
+from flaxtally.runtime.http import pack
 from flaxtally.settings import Team
 from tools.limits import fill, records
 
