Open files: a controller takes what it may and does with fewer; check names what is missing

Need: params.limits.max_sockets beyond what the process may open ended in refused connections at run time. Change: serve raises its own limit of open files as far as it may and otherwise goes on with fewer sockets (event few_files); check is one line and exit code 2. Tests bring both about.

--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import dataclasses
 import gc
 import logging
 import os
@@ -65,6 +66,7 @@
     ratios = policy.build(_policy(arguments, settings))
     _logging()
     Loop, Node = import_runtime()
+    settings = _within_files(settings)
     loop = Loop()
     try:
         Node(loop, settings, ratios, random.Random(), _cells(arguments, settings))
@@ -77,6 +79,23 @@
     return DONE
 
 
+def _within_files(settings: Settings) -> Settings:
+    """The settings with as many sockets as the process may open; a controller does with fewer."""
+    from .runtime.open_files import OTHER_FILES, files_needed, raise_limit
+
+    needed = files_needed(settings.max_sockets)
+    granted = raise_limit(needed)
+    if granted >= needed:
+        return settings
+    logging.getLogger(__name__).warning(
+        "event=few_files max_sockets=%d needed=%d granted=%d",
+        settings.max_sockets,
+        needed,
+        granted,
+    )
+    return dataclasses.replace(settings, max_sockets=max(1, granted - OTHER_FILES))
+
+
 def _cells(arguments: argparse.Namespace, settings: Settings) -> CellSetup | None:
     """What the deploy file says of cells; None: this fleet is not divided."""
     if arguments.cells is None:
@@ -92,10 +111,22 @@
         raise BadInput(str(fault)) from None
 
 
+def _check_files(path: str, settings: Settings) -> None:
+    from .runtime.open_files import files_needed, most_allowed
+
+    needed, allowed = files_needed(settings.max_sockets), most_allowed()
+    if allowed is not None and needed > allowed:
+        raise BadInput(
+            f"{path}: params.limits.max_sockets: {settings.max_sockets} sockets need {needed} open "
+            f"files, and a process may open {allowed} here (ulimit -Hn)"
+        )
+
+
 def _check(arguments: argparse.Namespace) -> int:
     settings = _settings(arguments)
     _policy(arguments, settings)
     _cells(arguments, settings)
+    _check_files(arguments.config, settings)
     print(f"{arguments.config}: settings are sound")
     if arguments.policy is not None:
         print(f"{arguments.policy}: policy is sound")
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -8,9 +8,12 @@
 from pathlib import Path
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from flaxtally import cli
+from flaxtally.cli import main
 from flaxtally.cluster.mail import MOST_INFLATED, fold, unfold
 from flaxtally.lead.known_shapes import MOST_SHAPES, KnownShapes
 from flaxtally.planning.fleet import Machine
@@ -20,6 +23,7 @@
 from flaxtally.planning.placement import WIDEN, GpuNeeds, allowed, leaves_gpus_usable, room
 from flaxtally.protocol import wire
 from flaxtally.protocol.shape import Shape
+from flaxtally.runtime import open_files
 from flaxtally.settings import Team, parse, read_toml
 from flaxtally.standin.settings_text import settings_text
 
@@ -344,3 +348,44 @@
     read = parse(read_toml(str(path)))
     assert (len(read.teams), len(read.zones), len(read.peers)) == (750, 23, 26)
     assert read.max_sockets == 24_000
+
+
+# Open files
+
+
+def write_settings(folder: Path, sockets: int) -> str:
+    world = World()
+    path = folder / "node.toml"
+    settings = dataclasses.replace(world.settings_of("hearth-0"), max_sockets=sockets)
+    path.write_text(settings_text(settings))
+    return str(path)
+
+
+def test_more_sockets_than_the_process_may_open_are_one_line_and_exit_code_2(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(open_files.resource, "getrlimit", lambda _: (256, 1024))
+    assert main(["check", "--config", write_settings(tmp_path, 1025)]) == 2
+    said = capsys.readouterr()
+    assert said.out == ""
+    assert "params.limits.max_sockets: 1025 sockets need 1057 open files" in said.err
+    assert len(said.err.splitlines()) == 1
+    assert main(["check", "--config", write_settings(tmp_path, 900)]) == 0
+
+
+def test_a_controller_takes_what_files_it_may_and_does_with_fewer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    limits = [256, 1024]
+    monkeypatch.setattr(open_files.resource, "getrlimit", lambda _: tuple(limits))
+    monkeypatch.setattr(
+        open_files.resource, "setrlimit", lambda _, new: limits.__setitem__(0, new[0])
+    )
+    assert open_files.raise_limit(200) == 200
+    assert limits[0] == 256
+    assert open_files.raise_limit(900) == 900
+    assert limits[0] == 900
+    assert open_files.raise_limit(5000) == 1024
+    settings = dataclasses.replace(World().settings_of("hearth-0"), max_sockets=5000)
+    assert cli._within_files(settings).max_sockets == 1024 - open_files.OTHER_FILES
+    assert cli._within_files(dataclasses.replace(settings, max_sockets=700)).max_sockets == 700
