Tasks of an array go to the machine of the one before while there is room

Cause: each of a hundred like tasks drew and graded a sample of its own, the larger part of a pass. Change: the best machine of a sample is better still for the next task of an array, so it is taken again while it holds one more.

--- a/flaxtally/lead/scheduling_pass.py
+++ b/flaxtally/lead/scheduling_pass.py
@@ -9,7 +9,7 @@
 from ..planning import placement
 from ..planning.best_effort import dear_types
 from ..planning.fleet import Machine
-from ..planning.machine_index import MachineIndex
+from ..planning.machine_index import Fit, MachineIndex
 from ..policy import Policy
 from ..protocol import wire
 from .jobs import Jobs
@@ -110,12 +110,15 @@
             self.placed += self._scheduler.place_gang(job, self._index)
             return True
         keep = self._preemption.unclaimed_by(wire.RANKS[spec.rank])
+        last: Machine | None = None
         while job.waiting and not self.is_full:
             if not self._jobs.within_limit(spec):
                 return False
             shut = self._jobs.shut_zones(job)
             machine = self._scheduler.hinted(job, shut, keep)
             search = self._search(job, shut)
+            if machine is None and last is not None and last.zone not in shut:
+                machine = self._same_again(last, job, search, keep)
             if machine is None and not self.unfit.covers(search, spec):
                 machine = self._choose(job, shut, search, full, keep)
             if machine is None:
@@ -126,10 +129,32 @@
                 return False
             self._scheduler.place(job, machine)
             self.placed += 1
+            last = machine
             if suspect:
                 return True
         return True
 
+    def _same_again(
+        self, machine: Machine, job: Job, search: _Search, keep: Keep | None
+    ) -> Machine | None:
+        """The machine of the task before, if it can hold one more task of an array.
+
+        It was the best of a sample, and is more so the less room it has left.
+        """
+        if job.spec.kind != wire.ARRAY:
+            return None
+        needs = None if search.overdue else self._jobs.needs
+        fit = Fit(job.spec, needs, self._accept(job, search, keep))
+        return machine if fit(machine, self._term.kinds[machine.kind]) else None
+
+    def _accept(self, job: Job, search: _Search, keep: Keep | None) -> Keep | None:
+        """Which machines the job may use, beside its own conditions; None: any."""
+        if not job.spec.best_effort or search.overdue:
+            return keep
+        if job.no not in self._worth:
+            self._worth[job.no] = self._worth_using(job.spec, keep)
+        return self._worth[job.no]
+
     def _search(self, job: Job, shut: frozenset[str]) -> _Search:
         spec = job.spec
         like = (
@@ -154,11 +179,7 @@
         spec = job.spec
         known = full.covers(search, spec)
         needs = None if search.overdue else self._jobs.needs
-        accept = keep
-        if spec.best_effort and not search.overdue:
-            if job.no not in self._worth:
-                self._worth[job.no] = self._worth_using(spec, keep)
-            accept = self._worth[job.no]
+        accept = self._accept(job, search, keep)
         where = self._grown if known else self._index
         machine = placement.choose(spec, job.no, where, needs, self._policy.sample, shut, accept)
         if machine is None:
--- a/flaxtally/planning/machine_index.py
+++ b/flaxtally/planning/machine_index.py
@@ -263,7 +263,7 @@
         spans = [span for pool in pools for span in self._with_room(pool, spec, needs)]
         if not spans:
             return []
-        fits = _Fit(spec, needs, keep)
+        fits = Fit(spec, needs, keep)
         count = sum(span.end - span.first for span in spans)
         if count <= WIDEN**2 * most:
             return self._sample_of_few(spans, fits, most)
@@ -309,7 +309,7 @@
             if id(self._entries[machine].pool) in open_pools:
                 yield machine
 
-    def _sample_of_few(self, spans: list[_Span], fits: _Fit, most: int) -> list[Machine]:
+    def _sample_of_few(self, spans: list[_Span], fits: Fit, most: int) -> list[Machine]:
         """The same where few machines have room: all of them are looked at."""
         machines = [
             entry[2]
@@ -329,7 +329,7 @@
                 return found if len(found) <= most else self._rng.sample(found, most)
         return []
 
-    def _sample(self, machines: Iterator[Machine], fits: _Fit, most: int) -> list[Machine]:
+    def _sample(self, machines: Iterator[Machine], fits: Fit, most: int) -> list[Machine]:
         found: list[Machine] = []
         enough = self.looked + WIDEN * most
         for machine in machines:
@@ -372,7 +372,7 @@
         return 1
 
 
-class _Fit:
+class Fit:
     """Whether a machine can hold one more task of a job."""
 
     __slots__ = ("_any_speed", "_cores", "_gpus", "_keep", "_needs", "_ram", "spec")
