Features by one file, and traces of what holds up a controller's loop

Need: one convention for new features, and a way to see which duty of a leader of thousands of machines held up the others.

--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from .cells.membership import CellSetup
+    from .features import Feature
     from .node import Node
     from .runtime.loop import Loop
 
@@ -64,11 +65,13 @@
     gc.disable()
     settings = _settings(arguments)
     ratios = policy.build(_policy(arguments, settings))
+    features = _features(arguments)
     _logging()
     Loop, Node = import_runtime()
     settings = _within_files(settings)
     loop = Loop()
     try:
+        _start_features(features, loop, settings)
         Node(loop, settings, ratios, random.Random(), _cells(arguments, settings))
     except OSError as fault:
         print(f"flaxtally: can't listen: {fault}", file=sys.stderr)
@@ -79,6 +82,30 @@
     return DONE
 
 
+def _features(arguments: argparse.Namespace) -> list[Feature]:
+    """What the features file enables; nothing without one."""
+    if arguments.features is None:
+        return []
+    from .features import FeatureError, read_file
+
+    try:
+        return read_file(arguments.features)
+    except FeatureError as fault:
+        raise BadInput(str(fault)) from None
+
+
+def _start_features(features: list[Feature], loop: Loop, settings: Settings) -> None:
+    if not features:
+        return
+    from .features import FeatureError
+
+    for feature in features:
+        try:
+            feature.start(loop, settings)
+        except FeatureError as fault:
+            raise BadInput(str(fault)) from None
+
+
 def _within_files(settings: Settings) -> Settings:
     """The settings with as many sockets as the process may open; a controller does with fewer."""
     from .runtime.open_files import OTHER_FILES, files_needed, raise_limit
@@ -126,6 +153,7 @@
     settings = _settings(arguments)
     _policy(arguments, settings)
     _cells(arguments, settings)
+    _features(arguments)
     _check_files(arguments.config, settings)
     print(f"{arguments.config}: settings are sound")
     if arguments.policy is not None:
@@ -269,6 +297,9 @@
         command.add_argument(
             "--cells", metavar="FILE", help="the deploy file with the fleet's cells (docs/cells.md)"
         )
+        command.add_argument(
+            "--features", metavar="FILE", help="features to enable (docs/operations.md)"
+        )
     cell_map = commands.add_parser(
         "cells", help="the map of the fleet's cells", description="the map of the fleet's cells"
     ).add_subparsers(dest="what", required=True, metavar="COMMAND")
--- /dev/null
+++ b/flaxtally/feature_table.py
@@ -0,0 +1,55 @@
+"""What a feature is, and its table in a features file, checked field by field."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from .runtime.loop import Loop
+from .settings import Settings
+
+
+class FeatureError(Exception):
+    """The file can't be used; the text is one line that names the place."""
+
+
+class Feature(Protocol):
+    """A feature whose table was found sound."""
+
+    def start(self, loop: Loop, settings: Settings) -> None:
+        """Takes part in a controller before its loop runs; raises `FeatureError`."""
+
+
+@dataclass(frozen=True)
+class Table:
+    """A feature's table, asked field by field, with errors that name the field in full."""
+
+    path: str
+    name: str
+    fields: dict[str, Any]
+
+    def fault(self, field: str, text: str) -> FeatureError:
+        """An error that names the field."""
+        return FeatureError(f"{self.path}: {self.name}.{field}: {text}")
+
+    def text(self, field: str) -> str:
+        """A text that must be there."""
+        value = self.fields.get(field)
+        if not isinstance(value, str) or not value:
+            raise self.fault(field, "missing, or not a text")
+        return value
+
+    def number(self, field: str, default: float, least: float, most: float) -> float:
+        """A number within bounds."""
+        value = self.fields.get(field, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise self.fault(field, "not a number")
+        if not least <= value <= most:
+            raise self.fault(field, f"{value:g} is not within {least:g} to {most:g}")
+        return float(value)
+
+    def only(self, *known: str) -> None:
+        """Refuses fields that are none of these."""
+        for field in self.fields:
+            if field not in known:
+                raise self.fault(field, f"not known; there are {', '.join(known)}")
--- a/flaxtally/runtime/loop.py
+++ b/flaxtally/runtime/loop.py
@@ -198,6 +198,8 @@
         self._running = False
         self._pause_watchers: list[tuple[float, Callable[[float], None]]] = []
         self._delay_monitor: DelayMonitor | None = None
+        self._long_callbacks: tuple[float, Callable[[Callable[..., None], float], None]] | None
+        self._long_callbacks = None
         self._last_seen = time.monotonic()
         self._callback_began = 0.0
         self.now = time.monotonic
@@ -263,6 +265,12 @@
     def on_delay(self, least: float, period: float, notify: Callable[[LoopDelay], None]) -> None:
         self._delay_monitor = DelayMonitor(least, period, notify)
 
+    def on_long_callback(
+        self, least: float, notify: Callable[[Callable[..., None], float], None]
+    ) -> None:
+        """Calls `notify` with each callback that took over `least` seconds, and its length."""
+        self._long_callbacks = least, notify
+
     def _checkpoint(self, waited: float = 0.0) -> float:
         """The time now; reports a pause if more than `waited` passed since the last checkpoint.
 
@@ -323,7 +331,20 @@
             fn(*args)
         except Exception:
             log.exception("a callback failed; the loop goes on")
+        if self._delay_monitor is None and self._long_callbacks is None:
+            return
+        ended = self.now()
+        took, self._callback_began = ended - self._callback_began, ended
         if self._delay_monitor is not None:
-            ended = self.now()
-            self._delay_monitor.ran(fn, ended - self._callback_began)
-            self._callback_began = ended
+            self._delay_monitor.ran(fn, took)
+        if self._long_callbacks is not None and took > self._long_callbacks[0]:
+            self._tell_long_callback(fn, took)
+
+    def _tell_long_callback(self, fn: Callable[..., None], took: float) -> None:
+        assert self._long_callbacks is not None
+        try:
+            self._long_callbacks[1](fn, took)
+        except Exception:
+            log.exception("a watcher of callbacks failed; the loop goes on")
+        # What the watcher takes is no callback's.
+        self._callback_began = self.now()
