--- a/flaxtally/lead/consolidation.py
+++ b/flaxtally/lead/consolidation.py
@@ -43,8 +43,11 @@
         self._cold: dict[Placement, float] = {}
         """Moved replicas that fetch their image, and since when."""
 
-    def consolidate(self, now: float, demands: list[Demand]) -> None:
+    def consolidate(self, demands: list[Demand]) -> None:
         """Begins to empty machines when all is calm; `continue_moves` moves their replicas."""
+        if not self.term.may_act:
+            return
+        now = self.runtime.now()
         most = max(1, self._few())
         calm = (
             len(self._moving) < most
--- a/flaxtally/lead/leader.py
+++ b/flaxtally/lead/leader.py
@@ -217,9 +217,8 @@
             self._ledger.clean()
 
     def _plan(self) -> None:
-        demands = self.planner.plan() if self._may_act() else None
-        if demands is not None:
-            self.consolidation.consolidate(self.runtime.now(), demands)
+        if self._may_act():
+            self.planner.plan(self.consolidation.consolidate)
 
     def _list(self) -> None:
         if self._may_act():
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -44,7 +44,7 @@
         super().__init__(term)
         self.jobs, self.tracker, self.orders = jobs, tracker, orders
         self._turns = 0
-        self._rentals = Rentals(term, self._replan)
+        self._rentals = Rentals(term, self.plan)
         self._rooms = RoomForecast(term, self._rentals)
         self._demand = DemandForecast(term, jobs)
 
@@ -65,28 +65,35 @@
 
         self.cloud.catalog(told)
 
-    def plan(self) -> list[Demand] | None:
-        """Rents and gives back; the demand that it planned for, None while that has to wait."""
+    def plan(self, then: Callable[[list[Demand]], None] | None = None) -> None:
+        """Rents and gives back, then calls `then` with the demand that it planned for.
+
+        Each part is a turn of the loop of its own: with thousands of machines a part takes as long
+        as reports and heartbeats should wait. Nothing is called while planning has to wait.
+        """
         if not self.term.kinds:
-            return None
+            return
         now, policy = self.runtime.now(), self.policy
         if (
             now - self.term.began < policy.settle / 4
             and self.ledger.book.jobs
             and self.fleet.machines
         ):
-            return None
+            return
         self._turns += 1
         if self._turns % 10 == 0:
             self._log_fleet(now)
         self._rentals.retry()
         demands = self._demand.demands(now)
         self._fill_gaps(now, demands)
-        self._give_back(now, demands)
-        return demands
+        self.runtime.soon(self._end_plan, demands, then)
 
-    def _replan(self) -> None:
-        self.plan()
+    def _end_plan(self, demands: list[Demand], then: Callable[[list[Demand]], None] | None) -> None:
+        if not self.term.may_act:
+            return
+        self._give_back(self.runtime.now(), demands)
+        if then is not None:
+            self.runtime.soon(then, demands)
 
     def _fill_gaps(self, now: float, demands: list[Demand]) -> None:
         """Rents what the forecast lacks, as much as the cloud's calls of a step can ask for."""
--- a/flaxtally/runtime/actor.py
+++ b/flaxtally/runtime/actor.py
@@ -28,6 +28,8 @@
             self.runtime.after(period, turn)
             fn()
 
+        # Under its own name in logs and traces: which duty held up the loop?
+        turn.__qualname__ = getattr(fn, "__qualname__", turn.__qualname__)
         self.runtime.soon(turn)
 
     def later(self, delay: float, fn: Callable[..., None], *args: Any) -> Timer:
