Test: users of a crowd have connections of their own

With 1,000 machines the storm of polls waited in the test's own client (eight connections a controller), and the cancellation behind them: the test failed for that. Now as many connections as machines, and 95 of 100 polls answered (was less strict).

--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -16,6 +16,7 @@
 from flaxtally.cli import main
 from flaxtally.cluster.mail import MOST_INFLATED, fold, unfold
 from flaxtally.lead.known_shapes import MOST_SHAPES, KnownShapes
+from flaxtally.lead.tracker import Tracker
 from flaxtally.planning.fleet import Machine
 from flaxtally.planning.forecast import Arrivals
 from flaxtally.planning.machine_index import MachineIndex
@@ -24,9 +25,11 @@
 from flaxtally.protocol import wire
 from flaxtally.protocol.shape import Shape
 from flaxtally.runtime import open_files
+from flaxtally.runtime.http import Client, OpenConnections, Request, Server
 from flaxtally.settings import Team, parse, read_toml
 from flaxtally.standin.settings_text import settings_text
 
+from .sim import Sim
 from .world import TYPES, World, batch, spec
 
 KINDS = {kind.name: kind for kind in TYPES}
@@ -389,3 +392,67 @@
     settings = dataclasses.replace(World().settings_of("hearth-0"), max_sockets=5000)
     assert cli._within_files(settings).max_sockets == 1024 - open_files.OTHER_FILES
     assert cli._within_files(dataclasses.replace(settings, max_sockets=700)).max_sockets == 700
+
+
+# Reports
+
+
+def test_a_report_like_the_last_one_is_compared_only_while_something_is_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = World()
+    world.submit(spec("j-000001", tasks=2))
+    assert world.until(lambda: world.count("j-000001") == 2, 60)
+    world.run(5.0)
+    compared: list[str] = []
+    compare = Tracker._compare_all
+
+    def counted(tracker: Tracker, machine: Machine, tasks: list[wire.TaskReport]) -> None:
+        compared.append(machine.name)
+        compare(tracker, machine, tasks)
+
+    monkeypatch.setattr(Tracker, "_compare_all", counted)
+    world.run(10.0)
+    assert compared == []
+    # Its order to stop is lost: the reports go on as before, and the stop must be sent again.
+    machine = world.machine_of("j-000001/0")
+    world.machine_trouble("deaf", [machine], 4.0)
+    world.cancel("j-000001")
+    world.run(2.0)
+    assert "j-000001" not in world.told_cancelled
+    assert machine in compared
+    assert world.until(lambda: "j-000001" in world.told_cancelled, 20)
+    assert world.count("j-000001") == 0
+    assert "j-000001/0" not in world.running
+
+
+def test_connections_to_workers_are_counted_as_they_come_and_go() -> None:
+    # Their number was summed over all clients for each call to a machine that had none.
+    sim = Sim(1)
+
+    def reply(request: Request) -> None:
+        request.reply(200, {})
+
+    for number in range(5):
+        Server(sim.host(f"10.1.0.{number}"), (f"10.1.0.{number}", 9000), reply, 10, 300.0, 0.2)
+    host, told = sim.host("10.0.0.1"), []
+    opened = OpenConnections()
+    clients = [Client(host, (f"10.1.0.{number}", 9000), 2, opened) for number in range(6)]
+
+    def standing() -> int:
+        return sum(stream.opened and not stream.dead for stream in host.streams)
+
+    for client in clients:
+        for _ in range(3):
+            client.request("GET", "/x", None, 2.0, lambda reply: told.append(reply.status))
+    assert opened.count == 12
+    while sim.next_time() < 5.0:
+        sim.step()
+    # Nobody listens at the last address.
+    assert sorted(told) == [0] * 3 + [200] * 15
+    assert opened.count == standing() == 10
+    sim.crash("10.1.0.0")
+    clients[1].close()
+    while sim.next_time() < 6.0:
+        sim.step()
+    assert opened.count == standing() == 6
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -15,6 +15,7 @@
 from flaxtally.clients.workers import CALLED_SHARE
 from flaxtally.lead.tracker import PROBING_SHARE
 from flaxtally.protocol import wire
+from flaxtally.runtime.http import Client
 from flaxtally.settings import Settings, Team
 
 from .world import CANCEL_S, NODES, TYPES, World, batch, spec
@@ -32,6 +33,9 @@
         granted = max(FEWEST_SOCKETS, SOCKETS_A_MACHINE * MACHINES)
         self._sockets = granted if sockets is None else sockets
         super().__init__(capacity=MACHINES, team=Team("crew", 0.0, 1e6, 0.0, 1e5))
+        # As many users as ask at a time: a few connections would hold back more than the service.
+        for name in NODES:
+            self._clients[name] = Client(self.user, (self.ip(name), 8080), MACHINES)
         for number in range(MACHINES):
             self.cloud.add(TYPES[0].name, "ab"[number % 2], False, boot=0.5)
         # Three replicas of five cores fill a machine.
@@ -164,7 +168,8 @@
     world.submit(spec("j-900000", tasks=2, cores=5.0, ram=8.0))
     assert world.until(lambda: world.count("j-900000") == 2, 3.0)
     assert world.leader() == leader
-    assert answered[0] > 0.98 * asked[0] - 2 * MACHINES
+    world.run(2.0)
+    assert answered[0] > 0.95 * asked[0]
     assert set(world.sessions()) == {1}
 
 
