Reading: a start compiles nothing again; one pool type, one check of fit, steps reckoned once

The check of open files was imported after what the build's warm-up compiles, so every start compiled it anew; cli imports it, and a test starts serve and finds no late module of ours (it fails without the change).

The planner's pool and the index's were two types of the same fields; machines name their pool. A moved replica's fit was checked in words of its own; it is Fit, as everywhere. The choice of a machine is a module above the index, so the protocol class that stood in for it goes. Both halves of a plan reckon their steps in one place. An id is matched once where it was twice, for each final job that a takeover replays. The index's scan for machines that are gone found none: a release notes them. No behaviour changes; the kept traces are the same.

--- a/flaxtally/cli.py
+++ b/flaxtally/cli.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from . import __version__, policy
+from .runtime import open_files
 from .settings import Settings, SettingsError, address, load
 
 if TYPE_CHECKING:
@@ -108,10 +109,8 @@
 
 def _within_files(settings: Settings) -> Settings:
     """The settings with as many sockets as the process may open; a controller does with fewer."""
-    from .runtime.open_files import OTHER_FILES, files_needed, raise_limit
-
-    needed = files_needed(settings.max_sockets)
-    granted = raise_limit(needed)
+    needed = open_files.files_needed(settings.max_sockets)
+    granted = open_files.raise_limit(needed)
     if granted >= needed:
         return settings
     logging.getLogger(__name__).warning(
@@ -120,7 +119,7 @@
         needed,
         granted,
     )
-    return dataclasses.replace(settings, max_sockets=max(1, granted - OTHER_FILES))
+    return dataclasses.replace(settings, max_sockets=max(1, granted - open_files.OTHER_FILES))
 
 
 def _cells(arguments: argparse.Namespace, settings: Settings) -> CellSetup | None:
@@ -139,9 +138,8 @@
 
 
 def _check_files(path: str, settings: Settings) -> None:
-    from .runtime.open_files import files_needed, most_allowed
-
-    needed, allowed = files_needed(settings.max_sockets), most_allowed()
+    needed = open_files.files_needed(settings.max_sockets)
+    allowed = open_files.most_allowed()
     if allowed is not None and needed > allowed:
         raise BadInput(
             f"{path}: params.limits.max_sockets: {settings.max_sockets} sockets need {needed} open "
--- a/flaxtally/lead/demand_forecast.py
+++ b/flaxtally/lead/demand_forecast.py
@@ -9,7 +9,6 @@
 from ..ledger.book import Job
 from ..planning import fill, placement
 from ..planning.best_effort import dear_types
-from ..planning.machine_index import PoolKey
 from ..planning.packing import Demand
 from ..protocol.shape import Shape
 from .jobs import Jobs
@@ -173,9 +172,7 @@
         """Counts the machines that each demand may use, by zone."""
         kinds = self.term.kinds
         pools = Counter(
-            PoolKey(machine.kind, machine.zone, machine.spot)
-            for machine in self.fleet.machines.values()
-            if machine.kind in kinds
+            machine.pool for machine in self.fleet.machines.values() if machine.kind in kinds
         )
         for demand in demands:
             for (kind, zone, spot), count in pools.items():
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 from collections.abc import Callable
 from dataclasses import replace
@@ -12,9 +13,8 @@
 from ..ledger import book as records
 from ..planning import fill
 from ..planning.best_effort import dear_types
-from ..planning.fill import Pool
-from ..planning.fleet import Machine
-from ..planning.packing import Demand, Rooms, pack
+from ..planning.fleet import Machine, Pool
+from ..planning.packing import Bin, Demand, Rooms, pack
 from ..protocol import wire
 from .demand_forecast import DemandForecast
 from .jobs import Jobs
@@ -97,11 +97,7 @@
 
     def _fill_gaps(self, now: float, demands: list[Demand]) -> None:
         """Rents what the forecast lacks, as much as the cloud's calls of a step can ask for."""
-        steps = []
-        for at, rooms in zip(self._rooms.steps, self._rooms.rooms_to_pack(now), strict=True):
-            then = [self._demand.at(demand, at, now) for demand in demands]
-            rooms.drop_full(then, self.jobs.needs)
-            steps.append((at, then, rooms))
+        steps = self._steps(now, demands, self._rooms.rooms(now))
         pools = [
             pool
             for kind in self.term.kinds.values()
@@ -222,21 +218,32 @@
         They can if the demand that the rooms can hold, at each step, is held just as well without
         them.
         """
-        steps = []
-        for at, bins in zip(self._rooms.steps, self._rooms.rooms(now), strict=True):
-            for room in bins:
-                # Best-effort work holds no machine that is dear for it, whatever else is there.
-                room.anchored = False
-            rooms = Rooms(bins)
-            then = [self._demand.at(demand, at, now) for demand in demands]
-            rooms.drop_full(then, self.jobs.needs)
-            steps.append((rooms, then, self._left(then, rooms.copy())))
+        bins_by_step = self._rooms.rooms(now)
+        for room in itertools.chain.from_iterable(bins_by_step):
+            # Best-effort work holds no machine that is dear for it, whatever else is there.
+            room.anchored = False
+        steps = [
+            (rooms, then, self._left(then, rooms.copy()))
+            for _, then, rooms in self._steps(now, demands, bins_by_step)
+        ]
 
         def check(without: set[str]) -> bool:
             return all(self._left(then, rooms.copy(without)) == left for rooms, then, left in steps)
 
         return check
 
+    def _steps(
+        self, now: float, demands: list[Demand], bins_by_step: list[list[Bin]]
+    ) -> list[tuple[float, list[Demand], Rooms]]:
+        """Each step's time from now, demand, and the rooms that may hold some of it."""
+        steps = []
+        for at, bins in zip(self._rooms.steps, bins_by_step, strict=True):
+            then = [self._demand.at(demand, at, now) for demand in demands]
+            rooms = Rooms(bins)
+            rooms.drop_full(then, self.jobs.needs)
+            steps.append((at, then, rooms))
+        return steps
+
     def _left(self, demands: list[Demand], rooms: Rooms) -> list[int]:
         """What of each demand finds no room. Packing uses up the rooms, and copies of caps."""
         return [
--- a/flaxtally/lead/rentals.py
+++ b/flaxtally/lead/rentals.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from ..planning.fill import Pool, Rent
+from ..planning.fill import Rent
+from ..planning.fleet import Pool
 from .term import Term, TermActor
 
 log = logging.getLogger(__name__)
--- a/flaxtally/lead/room_forecast.py
+++ b/flaxtally/lead/room_forecast.py
@@ -6,7 +6,7 @@
 
 from ..ledger.book import Placement
 from ..planning.fleet import Machine
-from ..planning.packing import Bin, Rooms
+from ..planning.packing import Bin
 from ..protocol import wire
 from .rentals import Rentals
 from .term import Term, TermActor
@@ -48,10 +48,6 @@
                     found[number] += [Bin.empty(kind, pool.zone, pool.spot) for _ in range(count)]
         return found
 
-    def rooms_to_pack(self, now: float) -> list[Rooms]:
-        """The same, to be packed and used up."""
-        return [Rooms(bins) for bins in self.rooms(now)]
-
     def _will_serve(self, machine: Machine, kind: wire.MachineType, now: float) -> bool:
         if machine.draining or machine.releasing or machine.slow or machine.deaf:
             return False
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -8,8 +8,9 @@
 from ..ledger import book as records
 from ..ledger.book import Job, Placement
 from ..planning import placement
+from ..planning.choice import choose
 from ..planning.fleet import Machine
-from ..planning.machine_index import MachineIndex
+from ..planning.machine_index import Fit, MachineIndex
 from .jobs import MOST_BACKLOG, Jobs
 from .orders import Orders
 from .preemption import Preemption
@@ -122,9 +123,6 @@
         for machine in self.fleet.machines.values():
             if self.tracker.is_usable(machine) != (machine in self._index):
                 machine.note_change()
-        for machine in self._index.machines:
-            if machine.name not in self.fleet.machines:
-                machine.note_change()
 
     # Placing
 
@@ -142,14 +140,9 @@
         if machine is None or not self.tracker.is_usable(machine) or machine.zone in shut:
             return None
         kind, spec = self.term.kinds[machine.kind], job.spec
-        left = placement.room(machine, kind)
-        fits = (
-            left.holds(spec)
-            and placement.allowed(spec, kind, machine.zone, machine.spot)
-            and placement.leaves_gpus_usable(spec, left, kind, self.jobs.needs)
-            and (keep is None or keep(machine))
-        )
-        return machine if fits else None
+        fits = Fit(spec, self.jobs.needs, keep)
+        allowed = placement.allowed(spec, kind, machine.zone, machine.spot)
+        return machine if allowed and fits(machine, kind) else None
 
     def place_gang(self, job: Job, index: MachineIndex) -> int:
         """A gang starts when all its tasks have room at once; a lost task is replaced singly."""
@@ -178,9 +171,7 @@
             shut = {
                 zone for zone in self.fleet.zones if zone not in zones or counts.count(zone) >= most
             }
-            machine = placement.choose(
-                spec, job.no, index, self.jobs.needs, self.policy.sample, shut
-            )
+            machine = choose(spec, job.no, index, self.jobs.needs, self.policy.sample, shut)
             if machine is None:
                 break
             machine.claim(spec, 1)
--- a/flaxtally/lead/scheduling_pass.py
+++ b/flaxtally/lead/scheduling_pass.py
@@ -8,6 +8,7 @@
 from ..ledger.book import Job
 from ..planning import placement
 from ..planning.best_effort import dear_types
+from ..planning.choice import choose
 from ..planning.fleet import Machine
 from ..planning.machine_index import Fit, MachineIndex
 from ..policy import Policy
@@ -68,7 +69,7 @@
         self._jobs, self._preemption = scheduler.jobs, scheduler.preemption
         self._policy, self._term = scheduler.policy, scheduler.term
         self._index, self._grown = index, grown
-        self._has_grown = any(True for _ in grown.machines)
+        self._has_grown = len(grown) > 0
         self.unfit = placement.Exhausted()
         """Who found no room in this pass: their like needn't look."""
         self._worth: dict[int, Keep] = {}
@@ -181,7 +182,7 @@
         needs = None if search.overdue else self._jobs.needs
         accept = self._accept(job, search, keep)
         where = self._grown if known else self._index
-        machine = placement.choose(spec, job.no, where, needs, self._policy.sample, shut, accept)
+        machine = choose(spec, job.no, where, needs, self._policy.sample, shut, accept)
         if machine is None:
             self.unfit.add(search, spec)
             if not (known or self._has_grown):
--- a/flaxtally/ledger/finals.py
+++ b/flaxtally/ledger/finals.py
@@ -19,9 +19,9 @@
 """Blocks that are larger aren't merged: it would hold up the loop."""
 
 
-def _number_of(ref: str) -> int:
-    """The id as a number: a 1 before its digits keeps leading zeros apart."""
-    return int("1" + ref[len(PREFIX) :])
+def _number_of(ref: str) -> int | None:
+    """The id as a number: a 1 before its digits keeps leading zeros apart; None: it is no id."""
+    return int("1" + ref[len(PREFIX) :]) if wire.JOB_ID.match(ref) else None
 
 
 def _ref_of(number: int) -> str:
@@ -53,28 +53,27 @@
 
     def get(self, ref: str) -> str | None:
         """The state of a job that is over; None: it is not, or the text is no job's id."""
-        if not wire.JOB_ID.match(ref):
-            return None
         number = _number_of(ref)
-        coded = self._recent.get(number)
-        if coded is None:
-            coded = self._find(number)
+        coded = None if number is None else self._find(number)
         if coded is None:
             return None
         return wire.ABORTED if coded & 1 else wire.DONE
 
     def add(self, ref: str, state: str) -> None:
         """Keeps the final state of a job; raises ValueError if the text is no job's id."""
-        if not wire.JOB_ID.match(ref):
+        number = _number_of(ref)
+        if number is None:
             raise ValueError(f"{ref!r} is no job's id")
-        if ref in self:
+        if self._find(number) is not None:
             return
-        number = _number_of(ref)
         self._recent[number] = number << 1 | (state == wire.ABORTED)
         if len(self._recent) >= _MOST_RECENT:
             self._sort_in()
 
     def _find(self, number: int) -> int | None:
+        """The number with its state; None: the job is not over."""
+        if number in self._recent:
+            return self._recent[number]
         sought = number << 1
         for block in self._blocks:
             if block[0] >> 1 <= number <= block[-1] >> 1:
@@ -104,5 +103,8 @@
         return map(_ref_of, self._numbers)
 
     def add(self, ref: str) -> None:
-        """One more record of a final job."""
-        self._numbers.append(_number_of(ref))
+        """One more record of a final job; raises ValueError if the text is no job's id."""
+        number = _number_of(ref)
+        if number is None:
+            raise ValueError(f"{ref!r} is no job's id")
+        self._numbers.append(number)
--- a/flaxtally/planning/consolidate.py
+++ b/flaxtally/planning/consolidate.py
@@ -12,9 +12,10 @@
 
 from ..ledger.book import Job, Placement
 from ..protocol import wire
+from .choice import choose
 from .fleet import Machine
 from .machine_index import MachineIndex
-from .placement import GpuNeeds, choose
+from .placement import GpuNeeds
 
 
 def pick(
--- a/flaxtally/planning/fill.py
+++ b/flaxtally/planning/fill.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, replace
 
 from ..protocol import wire
+from .fleet import Pool
 from .packing import Bin, Demand, Rooms, pack, slots, take
 from .placement import GpuNeeds
 
@@ -21,15 +22,6 @@
 ALIKE = 1.25
 
 
-@dataclass(frozen=True)
-class Pool:
-    """Where machines can be asked for."""
-
-    kind: str
-    zone: str
-    spot: bool
-
-
 @dataclass
 class Rent:
     """One machine to rent, and why."""
--- a/flaxtally/planning/fleet.py
+++ b/flaxtally/planning/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from typing import NamedTuple
 
 from ..ledger.book import Placement
 from ..protocol import wire
@@ -11,6 +12,14 @@
 """Orders in a row without an answer."""
 
 
+class Pool(NamedTuple):
+    """What machines are asked for by: type, zone and kind of rental."""
+
+    kind: str
+    zone: str
+    spot: bool
+
+
 class Machine:
     """A machine that the leader knows. `baseline`: it has reported under the present token."""
 
@@ -111,6 +120,11 @@
         """Room, images, or whether it may be used at all: who chooses machines looks at it anew."""
         self._changed[self] = None
 
+    @property
+    def pool(self) -> Pool:
+        """The pool that it is of."""
+        return Pool(self.kind, self.zone, self.spot)
+
     @property
     def deaf(self) -> bool:
         """Orders get no answer: what it reports may be well, but nothing can be placed there."""
--- a/flaxtally/planning/machine_index.py
+++ b/flaxtally/planning/machine_index.py
@@ -15,7 +15,7 @@
 from typing import Any, NamedTuple
 
 from ..protocol import wire
-from .fleet import Machine
+from .fleet import Machine, Pool
 from .placement import SLACK, WIDEN, GpuNeeds, allowed, leaves_gpus_usable, room
 
 _STRIDES_TRIED = 32
@@ -23,14 +23,6 @@
 """Of amounts that are compared: rooms are sums and differences of amounts."""
 
 
-class PoolKey(NamedTuple):
-    """What the machines of a pool have in common."""
-
-    kind: str
-    zone: str
-    spot: bool
-
-
 class RoomTaken(NamedTuple):
     """What decides whether a machine has more room than before."""
 
@@ -136,7 +128,7 @@
         self.looked = 0
         self._entries: dict[Machine, _Entry] = {}
         self._numbered = 0
-        self._pools: dict[PoolKey, _Pool] = {}
+        self._pools: dict[Pool, _Pool] = {}
         self._by_image: dict[str, _Members] | None = {} if by_image else None
         self._allowed: dict[Hashable, list[_Pool]] = {}
 
@@ -153,10 +145,8 @@
     def __contains__(self, machine: Machine) -> bool:
         return machine in self._entries
 
-    @property
-    def machines(self) -> Iterable[Machine]:
-        """All machines of the index."""
-        return self._entries.keys()
+    def __len__(self) -> int:
+        return len(self._entries)
 
     # Changes
 
@@ -191,10 +181,9 @@
                 self._by_image[image].remove(machine)
 
     def _enter(self, machine: Machine) -> _Entry:
-        key = PoolKey(machine.kind, machine.zone, machine.spot)
-        pool = self._pools.get(key)
+        pool = self._pools.get(machine.pool)
         if pool is None:
-            pool = self._pools[key] = _Pool(self.kinds[machine.kind], machine.zone)
+            pool = self._pools[machine.pool] = _Pool(self.kinds[machine.kind], machine.zone)
             self._allowed.clear()
         pool.members.add(machine)
         self._numbered += 1
--- a/flaxtally/planning/placement.py
+++ b/flaxtally/planning/placement.py
@@ -1,10 +1,10 @@
-"""Where a task goes: pure functions over rooms and specs."""
+"""What fits where: pure functions over rooms and specs."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Hashable, Iterable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from ..protocol import wire
 from ..protocol.shape import Shape
@@ -95,22 +95,6 @@
     )
 
 
-def fetch_seconds(spec: wire.Spec, machine: Machine, kind: wire.MachineType) -> float:
-    """About how long the image takes to be there; fetches at the same time share the rate."""
-    if spec.image in machine.images:
-        return 0.0
-    busy = machine.fetching()
-    return spec.image_gb / max(kind.fetch_rate, SLACK) * (1 + len(busy - {spec.image}))
-
-
-def _grade(seconds: float) -> int:
-    """Fetch times by order of size: differences within a grade don't decide."""
-    for grade, limit in enumerate((0.25, 0.75, 2.5, 8.0, 25.0)):
-        if seconds <= limit:
-            return grade
-    return 5
-
-
 class Exhausted:
     """Sizes of tasks for which nothing was found; larger ones needn't look.
 
@@ -133,52 +117,3 @@
         sizes = self._sizes.get(key, [])
         kept = [low for low in sizes if low[0] < size[0] or low[1] < size[1] or low[2] < size[2]]
         self._sizes[key] = [*kept, size]
-
-
-class Stock(Protocol):
-    """Machines among which one is chosen."""
-
-    kinds: dict[str, wire.MachineType]
-
-    def fitting(
-        self,
-        spec: wire.Spec,
-        shut: Collection[str],
-        needs: GpuNeeds | None,
-        most: int,
-        keep: Callable[[Machine], bool] | None = None,
-    ) -> list[Machine]:
-        """A sample of the machines that can hold one more task of the job."""
-
-
-def choose(
-    spec: wire.Spec,
-    job_no: int,
-    stock: Stock,
-    needs: GpuNeeds | None,
-    sample: int,
-    shut: Collection[str],
-    keep: Callable[[Machine], bool] | None = None,
-) -> Machine | None:
-    """The machine for a task, or None. Looks at a sample of those that can hold it.
-
-    `shut`: zones that the job may not use now.
-    """
-    best: tuple[tuple[float, ...], Machine] | None = None
-    for machine in stock.fitting(spec, shut, needs, sample, keep):
-        kind = stock.kinds[machine.kind]
-        after = max(
-            (kind.cores - machine.cores - spec.cores) / kind.cores if kind.cores else 0.0,
-            (kind.gpus - machine.gpus - spec.gpus) / kind.gpus if kind.gpus else 0.0,
-        )
-        score: tuple[float, ...] = (
-            _grade(fetch_seconds(spec, machine, kind)),
-            float(spec.kind == wire.SERVICE and any(no == job_no for no, _ in machine.placements)),
-            float(spec.spot and not machine.spot),
-            # Services pin a machine for long: the fewer are pinned, the more can be given back.
-            -round(machine.pinned, 3),
-            after,
-        )
-        if best is None or score < best[0]:
-            best = (score, machine)
-    return best[1] if best else None
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,13 +16,14 @@
 from flaxtally.cli import main
 from flaxtally.cluster.peers import Frames, encode
 from flaxtally.ledger.book import Book, BookError
+from flaxtally.planning.choice import choose
 from flaxtally.planning.consolidate import pick
-from flaxtally.planning.fill import Pool, plan
-from flaxtally.planning.fleet import Machine
+from flaxtally.planning.fill import plan
+from flaxtally.planning.fleet import Machine, Pool
 from flaxtally.planning.forecast import Arrivals
 from flaxtally.planning.machine_index import MachineIndex
 from flaxtally.planning.packing import Bin, Demand, Rooms, pack
-from flaxtally.planning.placement import GpuNeeds, choose, gpu_needs
+from flaxtally.planning.placement import GpuNeeds, gpu_needs
 from flaxtally.protocol import wire
 from flaxtally.protocol.shape import Shape
 from flaxtally.runtime.http import BadMessage, Parser
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,12 +2,17 @@
 processor time is half a second in which users and workers are without this controller.
 """
 
+import dataclasses
 import os
 import subprocess
 import sys
 import tomllib
 from pathlib import Path
 
+from flaxtally.standin.settings_text import settings_text
+
+from .world import World
+
 ROOT = Path(__file__).resolve().parent.parent
 LIST_MODULES = """
 import sys
@@ -18,6 +23,15 @@
     cached = getattr(getattr(module, "__spec__", None), "cached", None)
     print(name, cached or "-")
 """
+LIST_LATE_MODULES = """
+import sys
+sys.path.insert(0, {root!r})
+import run
+run.import_runtime()
+known = set(sys.modules)
+print(run.main(["serve", "--config", {config!r}]))
+print(*sorted(set(sys.modules) - known), sep="\\n")
+"""
 MOST_MODULES = 230
 """About 180 in use (those of the interpreter's own start included)."""
 OF_OTHER_COMMANDS = (
@@ -79,6 +93,27 @@
     assert [name for name in OF_OTHER_COMMANDS if name in modules] == []
 
 
+def test_a_start_imports_nothing_that_the_build_did_not_compile(tmp_path: Path) -> None:
+    # A module that `serve` alone imports, after what the warm-up imports, is compiled anew at each
+    # start: the check of open files was.
+    config = tmp_path / "node.toml"
+    settings = World().settings_of("hearth-0")
+    # An address of documentation, which no machine has: the start ends where it would listen.
+    config.write_text(
+        settings_text(dataclasses.replace(settings, peer_listen=("203.0.113.1", 8081)))
+    )
+    started = subprocess.run(
+        [sys.executable, "-c", LIST_LATE_MODULES.format(root=str(ROOT), config=str(config))],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    exit_code, *late = started.stdout.split()
+    assert "can't listen" in started.stderr
+    assert exit_code == "1"
+    assert [name for name in late if name.startswith("flaxtally")] == []
+
+
 def test_the_profile_names_entry_points_that_exist() -> None:
     # A duty whose entry point was renamed would be charged to others without a word.
     listed = subprocess.run(
