Two formats on one ledger, and nothing written that lower limits would refuse

Change: each controller states the formats it reads in hello and heartbeat; the leader keeps the evidence under the key formats and raises the ledger's format by a record V once all configured controllers read it. Batches of records are read whole or not at all. Gangs are answered 503 before the raise, 422 where no zones can hold them.

--- a/flaxtally/api/intake.py
+++ b/flaxtally/api/intake.py
@@ -10,10 +10,11 @@
 import msgspec
 
 from ..cluster.election import Election
+from ..cluster.formats import MemberFormats
 from ..cluster.peers import Frame, Peers
 from ..lead.leader import Leader
 from ..policy import Policy
-from ..protocol import wire
+from ..protocol import formats, wire
 from ..runtime.actor import Actor
 from ..runtime.http import Request
 from ..runtime.loop import Runtime, Timer
@@ -53,9 +54,11 @@
         leader: Leader,
         beat: Callable[[Request], None],
         most: int,
+        member_formats: MemberFormats,
     ) -> None:
         """`most`: questions under way at a time."""
         super().__init__(runtime)
+        self._formats = member_formats
         self._most = most
         self._policy, self._election, self._peers, self._leader, self._beat = (
             policy,
@@ -116,12 +119,23 @@
     def _submit(self, request: Request) -> None:
         answer = self._answer(request)
         try:
-            wire.parse_submission(request.body)
+            spec = wire.parse_submission(request.body)
         except wire.BadSubmission as fault:
             self._malformed(request, str(fault), answer)
             return
+        if spec.kind == wire.GANG and not self._leader_knows_gangs():
+            answer(503, None)
+            return
         self.route("submit", request.body, answer)
 
+    def _leader_knows_gangs(self) -> bool:
+        """A leader of an older version would place a gang task by task."""
+        election = self._election
+        if election.leading:
+            return True
+        leader = election.leader
+        return leader is not None and self._formats.newest_of(leader) >= formats.GANGS
+
     def _malformed(self, request: Request, why: str, answer: Answer) -> None:
         """A known job's submission is answered with its state, whatever its body has become."""
         try:
--- a/flaxtally/cells/membership.py
+++ b/flaxtally/cells/membership.py
@@ -82,7 +82,9 @@
             },
             zones=self.cell.zones,
             state_rps=settings.state_rps * state_part,
-            state_write_rps=settings.state_write_rps * state_part,
+            state_limits=replace(
+                settings.state_limits, write_rps=settings.state_limits.write_rps * state_part
+            ),
             cloud_rps=settings.cloud_rps / cells,
         )
 
@@ -114,7 +116,7 @@
             settings.teams,
             self._demand,
             policy.probe,
-            settings.state_write_rps,
+            settings.state_limits.write_rps,
         )
         self._own_store = Store(runtime, settings.state, policy.call, policy.first_call)
         """The cell's state service, under keys without the cell's prefix."""
--- a/flaxtally/clients/store.py
+++ b/flaxtally/clients/store.py
@@ -31,6 +31,9 @@
     DONE = "done"
     FAILED = "failed"
     REFUSED = "refused"
+    """Not now: an outage, or too many requests. The same can be sent again."""
+    INVALID = "invalid"
+    """Never: a value or the transaction is too large, or its lease has ended."""
     UNKNOWN = "unknown"
 
 
@@ -126,9 +129,10 @@
                 elif reply.status == 409:
                     done(Outcome.FAILED, 0)
                     return
-            if reply.status in (400, 429, 503):
-                if reply.status == 400:
-                    log.warning("state service refused a transaction: %r", reply.body[:200])
+            if reply.status == 400:
+                log.warning("state service refused a transaction: %r", reply.body[:200])
+                done(Outcome.INVALID, 0)
+            elif reply.status in (429, 503):
                 done(Outcome.REFUSED, 0)
             else:
                 done(Outcome.UNKNOWN, 0)
--- a/flaxtally/cluster/election.py
+++ b/flaxtally/cluster/election.py
@@ -16,7 +16,7 @@
 
 from ..clients.store import Outcome, Store
 from ..policy import Policy
-from ..protocol import wire
+from ..protocol import formats, wire
 from ..runtime.actor import Actor
 from ..runtime.loop import Runtime
 from .peers import Frame, Peers
@@ -83,6 +83,8 @@
         self._lease_turn = 0
         self._leasing = False
         self._able_at = float("-inf")
+        self._barred = False
+        """The ledger is of a format that this program does not read: it must not lead."""
 
     def start(self) -> None:
         self.every(self._policy.heartbeat, self._beat)
@@ -161,6 +163,7 @@
                 "ready": self.ready,
                 "sees": self._sees_leader(),
                 "view": self.view if self.leading else [],
+                "formats": list(formats.OWN),
             }
         )
         self._consider()
@@ -213,6 +216,12 @@
             self._follow()
             self._probe()
 
+    def refuse_to_lead(self) -> None:
+        """Gives up leading for good: the ledger was raised to a format that others read."""
+        log.error("event=refuses_to_lead node=%s term=%d", self._node, self.term)
+        self._barred = True
+        self.depose()
+
     # The key
 
     def _probe(self) -> None:
@@ -264,7 +273,7 @@
 
     def _consider(self) -> None:
         """Takes over when the leader is lost, and nobody whom we hear still sees it."""
-        if self.leading or self._taking or not self.store_answers:
+        if self.leading or self._taking or self._barred or not self.store_answers:
             return
         if not self._key_known:
             if not self._sees_leader():
@@ -384,5 +393,5 @@
         self._store.hold(self._policy.leader_hold, held)
 
     def _noted(self, outcome: Outcome, _: int) -> None:
-        if outcome in (Outcome.REFUSED, Outcome.UNKNOWN):
+        if outcome in (Outcome.REFUSED, Outcome.INVALID, Outcome.UNKNOWN):
             self._lease = None
--- a/flaxtally/cluster/peers.py
+++ b/flaxtally/cluster/peers.py
@@ -14,6 +14,7 @@
 
 import cbor2
 
+from ..protocol import formats
 from ..runtime.actor import Actor
 from ..runtime.loop import Address, Runtime, Stream
 from .mail import Mail
@@ -91,6 +92,11 @@
         self.heard: dict[str, float] = {name: float("-inf") for name in others}
         self.mail: Mail | None = None
         self.on_refused: Callable[[], None] = lambda: None
+        self.on_hello: Callable[[str, int, Any], None] = lambda *_: None
+        """Told of a peer's first frame on a connection: the peer, the connection's number in the
+        order in which they were accepted, and the formats that the peer states.
+        """
+        self._accepted = 0
         if listen is not None:
             runtime.listen(listen, self._accept)
 
@@ -157,7 +163,8 @@
         link.dialled_at = self.runtime.now()
         link.stream = self.runtime.connect(link.address)
         link.stream.on_close = lambda: self._lost(node, link)
-        link.stream.send(encode({"k": "hello", "node": self._node}))
+        hello = {"k": "hello", "node": self._node, "formats": list(formats.OWN)}
+        link.stream.send(encode(hello))
 
     def silent(self, node: str) -> bool:
         """Whether one of the two directions of the link seems dead."""
@@ -197,6 +204,8 @@
 
     def _accept(self, stream: Stream) -> None:
         frames = Frames()
+        self._accepted += 1
+        connection = self._accepted
         speaker: list[tuple[Peers, str]] = []
         """Once it said who it is: the links that it belongs to, and its name."""
 
@@ -216,6 +225,7 @@
                         stream.close()
                         return
                     speaker.append((owner, str(node)))
+                    owner.on_hello(str(node), connection, frame.get("formats"))
                     continue
                 links, name = speaker[0]
                 links.take(name, frame)
--- a/flaxtally/emulator/node_settings.py
+++ b/flaxtally/emulator/node_settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..runtime.loop import Address
-from ..settings import Objective, Settings
+from ..settings import Objective, Settings, StateLimits
 from ..standin.settings_text import settings_text
 from .plan import HOST, URGENT_LANE, URGENT_SHARE, URGENT_WITHIN_S, Plan
 
@@ -33,11 +33,11 @@
         objectives=(Objective("wait", URGENT_LANE, URGENT_WITHIN_S, URGENT_SHARE),),
         report_s=plan.report_s,
         lease_s=plan.lease_s,
+        gang_wait_s=plan.gang_wait_s,
+        gang_peer_s=plan.gang_peer_s,
         cancel_s=plan.cancel_s,
         state_rps=plan.state_rps,
-        state_write_rps=plan.state_write_rps,
-        value_bytes=int(plan.value_kb * 1024),
-        txn_ops=plan.txn_ops,
+        state_limits=StateLimits(plan.state_write_rps, int(plan.value_kb * 1024), plan.txn_ops),
         cloud_rps=plan.cloud_rps,
         list_lag_s=LIST_LAG_S,
         max_sockets=plan.sockets,
--- a/flaxtally/emulator/plan.py
+++ b/flaxtally/emulator/plan.py
@@ -60,6 +60,8 @@
     report_s: float = 2.0
     lease_s: float = 12.0
     cancel_s: float = 30.0
+    gang_wait_s: float = 40.0
+    gang_peer_s: float = 6.0
     tasks_per_worker: float = 9.5
     """190,000 tasks on 20,000 workers."""
     starts_per_worker: float = 0.38
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -12,7 +12,7 @@
 from ..ledger.book import Job, Placement
 from ..planning import placement
 from ..planning.forecast import Arrivals
-from ..protocol import wire
+from ..protocol import formats, wire
 from .known_shapes import KnownShapes
 from .orders import Orders
 from .term import Term, TermActor
@@ -64,6 +64,10 @@
         if not self.term.kinds or self.ledger.backlog > MOST_BACKLOG:
             answer(503, None)
             return
+        if spec.kind == wire.GANG and self.ledger.book.format < formats.GANGS:
+            # Some controller would place its tasks one by one.
+            answer(503, None)
+            return
         refusal = self._refusal(spec)
         if refusal:
             self._confirmed(answer, lambda: answer(422, {"error": refusal}))
@@ -71,6 +75,9 @@
         now = self.runtime.now()
         no = self.ledger.book.next_no
         record = [records.JOB, no, round(self.runtime.wall(), 1), *msgspec.to_builtins(spec)]
+        if not self.ledger.holds(record):
+            self._confirmed(answer, lambda: answer(422, {"error": "its names are too long"}))
+            return
 
         def committed() -> None:
             job.committed = True
@@ -95,12 +102,25 @@
             for zone in kind.zones
         ):
             return "no allowed machine type holds a task"
+        if spec.kind == wire.GANG and not self._zones_hold(spec):
+            return "no zones hold all tasks at the same time"
         count = 1 if spec.kind == wire.ARRAY else spec.tasks
         over = (team.cores_max and spec.cores * count > team.cores_max + placement.SLACK) or (
             team.gpus_max and spec.gpus * count > team.gpus_max + placement.SLACK
         )
         return "more than the team's limit" if over else None
 
+    def _zones_hold(self, spec: wire.Spec) -> bool:
+        """Whether some choice of zones can hold all tasks of a gang."""
+        zones = {
+            zone
+            for kind in self.term.kinds.values()
+            for zone in kind.zones
+            if placement.allowed(spec, kind, zone, False)
+        }
+        in_one = spec.one_zone or len(zones) == 1
+        return not (spec.spread and in_one and spec.tasks > spec.zone_share)
+
     def poll(self, ref: str, answer: Answer) -> None:
         """A job's state: a final one at once, any other after leadership is confirmed."""
         job = self.ledger.book.by_ref.get(ref)
--- a/flaxtally/lead/leader.py
+++ b/flaxtally/lead/leader.py
@@ -14,6 +14,7 @@
 
 from ..clients.cloud import Cloud
 from ..cluster.election import Election
+from ..cluster.formats import MemberFormats
 from ..ledger.book import Book
 from ..ledger.commit import Ledger
 from ..policy import Policy
@@ -49,9 +50,10 @@
         carrier: OrderCarrier,
         rng: random.Random,
         limits: TeamLimits,
+        formats: MemberFormats,
     ) -> None:
         super().__init__(runtime)
-        self._limits = limits
+        self._limits, self._formats = limits, formats
         self._settings, self._policy, self._ledger, self._cloud = settings, policy, ledger, cloud
         self._election, self._carrier, self._rng = election, carrier, rng
         self._wire(0)
@@ -93,12 +95,14 @@
         self._wire(number, self.term.kinds)
         self._cloud.forget()
         self._limits.end()
+        self._formats.begin(version)
         self._ledger.open(version, self._ready)
 
     def on_end(self) -> None:
         if self.term.number:
             self.term.active = False
             self._limits.end()
+            self._formats.end()
             self._ledger.close()
             self._cloud.forget()
             self._wire(0, self.term.kinds)
@@ -207,6 +211,7 @@
 
     def _watch(self) -> None:
         if self._may_act():
+            self._raise_format()
             self.tracker.watch()
             self.stragglers.watch()
             self.consolidation.continue_moves(self.runtime.now())
@@ -216,6 +221,12 @@
             # With each plan alone it fell behind where jobs are many and short.
             self._ledger.clean()
 
+    def _raise_format(self) -> None:
+        """Once all configured controllers read a newer format, it may be written."""
+        common = self._formats.common
+        if common > self.book.format:
+            self._ledger.raise_format(common)
+
     def _plan(self) -> None:
         if self._may_act():
             self.planner.plan(self.consolidation.consolidate)
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from ..clients.cloud import MOST_RENTED
-from ..ledger import book as records
 from ..planning import fill
 from ..planning.best_effort import dear_types
 from ..planning.fleet import Machine, Pool
@@ -60,7 +59,7 @@
             self.term.kinds = {kind.name: kind for kind in kinds}
             known = msgspec.convert(self.ledger.book.catalog, list[wire.MachineType])
             if [_fixed(kind) for kind in known] != [_fixed(kind) for kind in kinds]:
-                self.ledger.propose([records.CATALOG, msgspec.to_builtins(kinds)])
+                self.ledger.propose_catalog(msgspec.to_builtins(kinds))
             self.term.request_pass()
 
         self.cloud.catalog(told)
--- a/flaxtally/ledger/book.py
+++ b/flaxtally/ledger/book.py
@@ -9,6 +9,14 @@
     T  no, runs                   snapshot: [first, count, attempt, done] of tasks not placed
     F  no, ref, stage             a final job, all that is kept of it
     K  types                      the cloud's machine types, for leaders that begin in an outage
+
+Since format 2 (`protocol.formats`), and never before a record V says so:
+
+    V  format                     all controllers read records of this format
+    B  first, last, records       a piece of a batch (`ledger.batch`)
+    K  types, more                with more: in addition to those of the records before
+    P, E of gangs                 a lost task of a gang that has not begun may be placed again with
+                                  the attempt number of its gang; one task that is done ends the job
 """
 
 from __future__ import annotations
@@ -19,13 +27,13 @@
 
 import msgspec
 
-from ..protocol import wire
+from ..protocol import formats, wire
 from ..protocol.shape import Shape
+from .batch import BatchReader, Record
 from .finals import FinalStates, PageOfFinals
 
-Record = list[Any]
 JOB, TASKS, PLACED, ENDED = "J", "T", "P", "E"
-CANCELLED, FINAL, CATALOG = "C", "F", "K"
+CANCELLED, FINAL, CATALOG, FORMAT = "C", "F", "K", "V"
 OF_A_JOB = (TASKS, PLACED, ENDED, CANCELLED)
 """Records that say something of a job that an earlier one accepted."""
 
@@ -141,6 +149,11 @@
         """Whether a task of it was ever placed."""
         return self.fresh > 0
 
+    @property
+    def newest_attempt(self) -> int:
+        """The highest attempt number of any of its tasks; 0: none was placed."""
+        return max(self.attempts.values(), default=0)
+
     @property
     def waiting(self) -> int:
         return 0 if self.final else self.spec.tasks - self.fresh + len(self.requeued)
@@ -167,6 +180,10 @@
     """A record breaks an invariant; it must not be committed. On replay: a damaged ledger."""
 
 
+class FormatTooNew(Exception):
+    """The ledger is of a format that this program does not read."""
+
+
 class Book:
     """All jobs. Records that are final and without placements shrink to `finals`."""
 
@@ -180,6 +197,10 @@
         self.next_no = 1
         self.catalog: list[Any] = []
         self.catalog_home = 0
+        self.format = formats.FIRST
+        """What may be written: all controllers read it."""
+        self.format_home = 0
+        self._reader = BatchReader()
         self._handlers: dict[str, Callable[..., None]] = {
             JOB: self._accept,
             TASKS: self._restore_tasks,
@@ -188,6 +209,7 @@
             CANCELLED: self._cancel,
             FINAL: self._finish,
             CATALOG: self._keep_catalog,
+            FORMAT: self._raise_format,
         }
 
     # Records, live and on replay
@@ -200,11 +222,11 @@
         """Applies a record that was read back.
 
         Records of a job whose own record is not there yet belong to a page that was cleaned: a
-        later snapshot says what they meant.
+        later snapshot says what they meant. Raises `FormatTooNew`, or `BookError`.
         """
-        if record[0] in OF_A_JOB and record[1] not in self.jobs:
-            return
-        self.apply(record, page)
+        for home, certain in self._reader.read(page, record):
+            if certain[0] not in OF_A_JOB or certain[1] in self.jobs:
+                self.apply(certain, home)
 
     def compact(self, job: Job, page: int) -> None:
         """Shrinks a final job without placements to what must be kept for ever."""
@@ -243,7 +265,7 @@
             task in job.placed
             or task in job.done_tasks
             or job.cancelled
-            or attempt <= job.attempts.get(task, 0)
+            or attempt < job.attempts.get(task, 0) + (job.spec.kind != wire.GANG)
         ):
             raise BookError(f"task {job.spec.ref}/{task} can't be placed as attempt {attempt}")
         if job.requeued and job.requeued[0] == task:
@@ -270,7 +292,10 @@
         if placement is None or placement.attempt != attempt:
             raise BookError(f"task {job.spec.ref}/{task} has no attempt {attempt} to end")
         self._remove(placement)
-        if done and job.spec.kind != wire.SERVICE:
+        if done and job.spec.kind == wire.GANG:
+            # They complete together.
+            job.done_tasks.update(range(job.spec.tasks))
+        elif done and job.spec.kind != wire.SERVICE:
             job.done_tasks.add(task)
         else:
             heapq.heappush(job.requeued, task)
@@ -290,8 +315,16 @@
         self.final_home.setdefault(page, PageOfFinals()).add(ref)
         self.next_no = max(self.next_no, no + 1)
 
-    def _keep_catalog(self, page: int, types: list[Any]) -> None:
-        self.catalog, self.catalog_home = types, page
+    def _keep_catalog(self, page: int, types: list[Any], more: bool = False) -> None:
+        if more:
+            self.catalog = [*self.catalog, *types]
+        else:
+            self.catalog, self.catalog_home = types, page
+
+    def _raise_format(self, page: int, version: int) -> None:
+        if version > formats.OWN.newest:
+            raise FormatTooNew(f"format {version}; this program reads {formats.OWN.newest}")
+        self.format, self.format_home = max(self.format, version), page
 
     def _remove(self, placement: Placement) -> None:
         job = placement.job
@@ -316,58 +349,9 @@
         ):
             job.done = True
 
-    # Snapshots, for pages that are cleaned
-
-    def snapshot(self, home: int) -> list[Record]:
-        """Records that say anew all that the records of page `home` still mean."""
-        records: list[Record] = (
-            [[CATALOG, self.catalog]] if self.catalog and self.catalog_home == home else []
-        )
-        for job in [job for job in self.jobs.values() if job.home == home]:
-            if job.final and not job.placed:
-                records.append(
-                    [FINAL, job.no, job.spec.ref, wire.ABORTED if job.cancelled else wire.DONE]
-                )
-                continue
-            records.append([JOB, job.no, job.at, *msgspec.to_builtins(job.spec)])
-            runs = self._runs(job)
-            records += [
-                [TASKS, job.no, runs[start : start + 100]] for start in range(0, len(runs), 100)
-            ]
-            for placement in job.placed.values():
-                records.append(
-                    [
-                        "P",
-                        job.no,
-                        placement.task,
-                        placement.attempt,
-                        placement.machine,
-                        placement.zone,
-                    ]
-                )
-            if job.cancelled:
-                records.append([CANCELLED, job.no])
-        for ref in self.final_home.get(home, ()):
-            records.append([FINAL, 0, ref, self.finals.get(ref)])
-        return records
-
     def weight(self) -> int:
         """About how many bytes the records of a snapshot of everything would take."""
         return 24 * len(self.finals) + sum(
             24 if job.final and not job.placed else 260 + 30 * len(job.placed)
             for job in self.jobs.values()
         )
-
-    @staticmethod
-    def _runs(job: Job) -> list[list[Any]]:
-        runs: list[list[Any]] = []
-        for task in range(job.fresh):
-            if task in job.placed:
-                continue
-            attempt, done = job.attempts.get(task, 0), task in job.done_tasks
-            last = runs[-1] if runs else None
-            if last and last[0] + last[1] == task and last[2] == attempt and last[3] == done:
-                last[1] += 1
-            else:
-                runs.append([task, 1, attempt, done])
-        return runs
--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -12,20 +12,21 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
-
 from ..clients.store import Outcome, Store
 from ..cluster.election import LEAD
-from ..protocol import wire
+from ..protocol import formats, wire
 from ..runtime.actor import Actor
 from ..runtime.http import pack
 from ..runtime.loop import Runtime
 from ..runtime.token_bucket import TokenBucket
-from .book import CATALOG, FINAL, JOB, Book, Record
+from ..settings import StateLimits
+from . import snapshot
+from .batch import PIECE_OVERHEAD, Record, pieces, size_of
+from .book import CATALOG, FINAL, FORMAT, JOB, Book, FormatTooNew
 from .confirmation import Confirmation
 from .finals import PageOfFinals
 
@@ -33,6 +34,13 @@
 
 PAGES = "p/"
 TXN_BYTES = 56 * 1024
+PAGE_SHARE = 7 / 8
+"""Of a value's largest size: what the records of a page may take."""
+LEDGER_SHARE = 0.85
+"""Of the changes a second: the rest is for leadership and mail."""
+BURST_S = 0.5
+"""Changes of so many seconds may come at once; the state service allows those of one second."""
+LEAST_PAGE_BYTES = 768
 FEW_PAGES = 8
 """Not worth cleaning."""
 ORIGIN = 0
@@ -65,14 +73,14 @@
         self,
         runtime: Runtime,
         store: Store,
-        write_rps: float,
-        value_bytes: int,
-        txn_ops: int,
+        limits: StateLimits,
         retry: float,
         first: float,
         gather: float,
         lost: Callable[[], None],
+        format_too_new: Callable[[], None],
     ) -> None:
+        """`format_too_new`: the ledger can't be read by this program."""
         super().__init__(runtime)
         self._store, self._retry, self._first, self._gather, self._lost = (
             store,
@@ -81,10 +89,20 @@
             gather,
             lost,
         )
-        self._page_bytes = value_bytes * 7 // 8
-        self._most_pages = max(1, min(txn_ops - 2, TXN_BYTES // value_bytes))
+        self._format_too_new = format_too_new
+        self._limits = limits
+        self._page_bytes = int(limits.value_bytes * PAGE_SHARE)
+        # A transaction must not be more than a burst, which other writers share.
+        self._most_pages = max(
+            1,
+            min(
+                limits.txn_ops - 2, TXN_BYTES // limits.value_bytes, int(limits.write_rps * BURST_S)
+            ),
+        )
         self._bucket = TokenBucket(
-            runtime, write_rps * 0.85, max(self._most_pages, write_rps * 0.5)
+            runtime,
+            limits.write_rps * LEDGER_SHARE,
+            max(self._most_pages + 2, limits.write_rps * BURST_S),
         )
         self.generation = 0
         self._reset(0)
@@ -141,6 +159,11 @@
                     self._pages[number] = row.version
                     for record in row.value["r"]:
                         self.book.replay(record, number)
+            except FormatTooNew as fault:
+                log.error("event=ledger_format_unknown page=%s why=%r", row.key, str(fault))
+                self._restart(version)
+                self._format_too_new()
+                return
             except Exception as fault:
                 # To serve without a part of it could start a task twice: nothing is served until it
                 # is mended.
@@ -173,13 +196,42 @@
 
     def propose(self, record: Record, then: Then | None = None) -> None:
         """Applies the record to the book and commits it soon; `then` follows the commit."""
-        size = self._room(record)
+        size = self._room(size_of(record))
         self.book.apply(record, self._filling)
         self._add(record, size, then)
 
-    def _room(self, record: Record) -> int:
-        """Makes room for the record in the page being filled; returns the record's size."""
-        size = len(msgspec.json.encode(record)) + 1
+    def propose_batch(self, records: list[Record], then: Then | None = None) -> None:
+        """The same for records that are read whole or not at all; `then` follows the last commit.
+
+        None of them is of a kind that a page is the home of. More than a page is written only in
+        a format that has batches (`writes_batches`).
+        """
+        for record in records:
+            self.book.apply(record, self._filling)
+        self._add_batch(records, then)
+
+    @property
+    def writes_batches(self) -> bool:
+        """Whether all controllers read batches of more than a page."""
+        return self.book.format >= formats.GANGS
+
+    def holds(self, record: Record) -> bool:
+        """Whether the record fits into a page, also within a batch."""
+        return size_of(record) <= self._page_bytes - PIECE_OVERHEAD
+
+    def raise_format(self, version: int) -> None:
+        """Lets records of that format be written: no older program can read the ledger again."""
+        log.info("event=format_raised format=%d", version)
+        self.propose([FORMAT, version])
+
+    def propose_catalog(self, types: list[object]) -> None:
+        """Keeps the cloud's machine types, if that can be written."""
+        records = snapshot.catalog_records(types, self._page_bytes)
+        if len(records) == 1 or self.writes_batches:
+            self.propose_batch(records)
+
+    def _room(self, size: int) -> int:
+        """Makes room for so many bytes in the page being filled; returns them."""
         if self._size and self._size + size > self._page_bytes:
             self._filling += 1
             self._size = 0
@@ -190,6 +242,20 @@
         self._queue.append((record, self._filling, then))
         self._arm()
 
+    def _add_batch(self, records: list[Record], then: Then | None) -> int:
+        """Queues the records so that they are read as one; returns the page of the first."""
+        size = sum(size_of(record) for record in records)
+        written = records if size <= self._page_bytes else pieces(records, self._page_bytes)
+        if written is records:
+            # One page is written at once.
+            self._room(size)
+        first = 0
+        for number, record in enumerate(written):
+            room = self._room(size_of(record))
+            first = first or self._filling
+            self._add(record, room, then if number == len(written) - 1 else None)
+        return first
+
     # Cleaning: old pages are said anew, shorter, in the page being filled, and then dropped
 
     def clean(self) -> None:
@@ -210,21 +276,18 @@
             # Its end is about to be told. (A cancelled job that still has placements is said anew
             # like any other.)
             return
+        groups = snapshot.page_records(self.book, oldest, self._page_bytes)
+        if not self.writes_batches and any(
+            sum(map(size_of, group)) > self._page_bytes for group in groups
+        ):
+            # Read in part by an older controller, such a job would have tasks placed nowhere.
+            return
         self._cleaning = True
         log.info("event=clean page=%d of=%d jobs=%d", oldest, len(self._pages), len(at_home))
-        records = self.book.snapshot(oldest)
         refs = iter(self.book.final_home.pop(oldest, ()))
-        for record in records:
-            size = self._room(record)
-            if record[0] == JOB:
-                self.book.jobs[record[1]].home = self._filling
-            elif record[0] == CATALOG:
-                self.book.catalog_home = self._filling
-            elif record[0] == FINAL and record[1]:
-                self.book.compact(self.book.jobs[record[1]], self._filling)
-            elif record[0] == FINAL:
-                self.book.final_home.setdefault(self._filling, PageOfFinals()).add(next(refs))
-            self._add(record, size, None)
+        for group in groups:
+            home = self._add_batch(group, None)
+            self._move_home(group[0], home, refs)
 
         def said() -> None:
             self._cleaning = False
@@ -237,6 +300,20 @@
         else:
             said()
 
+    def _move_home(self, record: Record, home: int, finals: Iterator[str]) -> None:
+        """What the record begins to say anew stands in the page `home` from now on."""
+        book = self.book
+        if record[0] == JOB:
+            book.jobs[record[1]].home = home
+        elif record[0] == CATALOG:
+            book.catalog_home = home
+        elif record[0] == FORMAT:
+            book.format_home = home
+        elif record[0] == FINAL and record[1]:
+            book.compact(book.jobs[record[1]], home)
+        elif record[0] == FINAL:
+            book.final_home.setdefault(home, PageOfFinals()).add(next(finals))
+
     @property
     def backlog(self) -> int:
         return len(self._queue)
@@ -252,18 +329,22 @@
         self._armed = False
         if self._busy or not (self._queue or self._drops):
             return
+        changes = self._limits.txn_ops
+        creates_origin = not self._pages and bool(self._queue)
+        drops = self._drops[: changes - creates_origin - bool(self._queue)]
+        most_pages = max(0, min(changes - creates_origin - len(drops), self._most_pages))
         first = self._queue[0][1] if self._queue else 0
         last = self._queue[-1][1] if self._queue else -1
-        cost = min(last - first + 1, self._most_pages) + len(self._drops)
+        cost = min(last - first + 1, most_pages) + len(drops) + creates_origin
         if self._bucket.wait(cost) > 0:
             self._armed = True
             self.later(self._bucket.wait(cost), self._commit, generation)
             return
         pages: dict[int, list[Record]] = {}
-        if self._content and first == self._content_page:
+        if self._content and first == self._content_page and most_pages:
             pages[first] = self._content
         thens: list[Then] = []
-        while self._queue and (self._queue[0][1] in pages or len(pages) < self._most_pages):
+        while self._queue and (self._queue[0][1] in pages or len(pages) < most_pages):
             record, page, then = self._queue.popleft()
             pages.setdefault(page, []).append(record)
             if then is not None:
@@ -275,27 +356,27 @@
             guards[page_key(page)] = self._pages.get(page, 0)
             puts[page_key(page)] = {"r": records}
         created = [page for page in pages if page not in self._pages]
-        if created and not self._pages:
+        numbers = list(pages)
+        if creates_origin:
             guards[page_key(ORIGIN)] = 0
             puts[page_key(ORIGIN)] = {"r": []}
-            created.append(ORIGIN)
+            numbers = [ORIGIN, *pages]
         elif created:
             # "Does not exist" would hold again once the new page was cleaned away, and a late copy
             # of this transaction would bring its records back. The page before it, which is final
             # and goes first, tells the two apart.
             before = max(page for page in self._pages if page < min(created))
             guards.setdefault(page_key(before), self._pages[before])
-        drops = [page_key(page) for page in self._drops]
-        for page in self._drops:
+        for page in drops:
             guards[page_key(page)] = self._pages.pop(page)
-        self._drops = []
-        self._bucket.take(len(pages) + len(drops))
+        self._drops = self._drops[len(drops) :]
+        self._bucket.take(cost)
         if pages:
             self._content_page = max(pages)
             self._content = pages[self._content_page]
         self._busy = True
-        numbers = [ORIGIN, *pages] if ORIGIN in created else list(pages)
-        self._send(_Transaction(generation, guards, puts, drops, numbers), unsure=False)
+        dropped = [page_key(page) for page in drops]
+        self._send(_Transaction(generation, guards, puts, dropped, numbers), unsure=False)
 
     def _send(self, transaction: _Transaction, unsure: bool) -> None:
         """Sends it until its outcome is known. `unsure`: a copy may have been applied."""
@@ -316,6 +397,8 @@
             elif outcome is Outcome.FAILED:
                 log.info("event=commit_refused pages=%s", pages)
                 self._lost()
+            elif outcome is Outcome.INVALID:
+                self._too_large()
             else:
                 self._bucket.take(len(pages))
                 delay = max(self._retry / 4, self._bucket.wait(len(pages)))
@@ -330,6 +413,20 @@
             first=not unsure,
         )
 
+    def _too_large(self) -> None:
+        """The state service accepts less than the settings say.
+
+        Sent again unchanged it would be refused for ever. Smaller pieces under the same term could
+        meet a late copy of what was refused: the next term's pages are smaller, and its takeover
+        bars all copies.
+        """
+        self._page_bytes = max(LEAST_PAGE_BYTES, self._page_bytes // 2)
+        self._most_pages = max(1, self._most_pages // 2)
+        log.error(
+            "event=commit_too_large page_bytes=%d most_pages=%d", self._page_bytes, self._most_pages
+        )
+        self._lost()
+
     def _read_back(self, transaction: _Transaction) -> None:
         """Finds out by a page of it whether the transaction was applied."""
         pages = transaction.pages
--- /dev/null
+++ b/flaxtally/ledger/snapshot.py
@@ -0,0 +1,93 @@
+"""Records that say anew what the records of a page still mean, for pages that are cleaned. Pure."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..protocol import formats, wire
+from .batch import PIECE_OVERHEAD, Record, size_of
+from .book import CANCELLED, CATALOG, FINAL, FORMAT, JOB, PLACED, TASKS, Book, Job
+
+RUNS_A_RECORD = 16
+"""So that a record fits into a page, however many tasks its job has."""
+TYPES_A_RECORD = 1
+"""Machine types of the catalogue in one record, where they don't all fit into a page."""
+
+
+def final_record(job: Job) -> Record:
+    """All that is kept of a job that is over."""
+    return [FINAL, job.no, job.spec.ref, wire.ABORTED if job.cancelled else wire.DONE]
+
+
+def job_records(job: Job) -> list[Record]:
+    """All of a job that is not over, to be written as one batch.
+
+    Read in part they would say that its tasks are placed nowhere.
+    """
+    accepted: Record = [JOB, job.no, job.at, *msgspec.to_builtins(job.spec)]
+    placed: list[Record] = [
+        [PLACED, job.no, there.task, there.attempt, there.machine, there.zone]
+        for there in job.placed.values()
+    ]
+    if job.done:
+        # A gang that is done while some of its tasks are not proven over: each counts as done.
+        everything = [0, job.spec.tasks, job.newest_attempt, True]
+        return [accepted, *placed, [TASKS, job.no, [everything]]]
+    runs = _runs(job)
+    unplaced: list[Record] = [
+        [TASKS, job.no, runs[start : start + RUNS_A_RECORD]]
+        for start in range(0, len(runs), RUNS_A_RECORD)
+    ]
+    cancelled: list[Record] = [[CANCELLED, job.no]] if job.cancelled else []
+    return [accepted, *unplaced, *placed, *cancelled]
+
+
+def catalog_records(types: list[object], most_bytes: int) -> list[Record]:
+    """The cloud's machine types: one record, or a batch of several if they don't fit into a page.
+
+    The first record says that none of the earlier ones count.
+    """
+    whole: Record = [CATALOG, types]
+    if size_of(whole) <= most_bytes - PIECE_OVERHEAD:
+        return [whole]
+    return [
+        [CATALOG, types[start : start + TYPES_A_RECORD], start > 0]
+        for start in range(0, len(types), TYPES_A_RECORD)
+    ]
+
+
+def page_records(book: Book, page: int, most_bytes: int) -> list[list[Record]]:
+    """All that the records of a page still mean, in groups that are each a batch.
+
+    `most_bytes`: of the records of a page.
+    """
+    groups: list[list[Record]] = []
+    if book.format > formats.FIRST and book.format_home == page:
+        groups.append([[FORMAT, book.format]])
+    if book.catalog and book.catalog_home == page:
+        groups.append(catalog_records(book.catalog, most_bytes))
+    for job in [job for job in book.jobs.values() if job.home == page]:
+        over = job.final and not job.placed
+        groups.append([final_record(job)] if over else job_records(job))
+    groups += [[[FINAL, 0, ref, book.finals.get(ref)]] for ref in book.final_home.get(page, ())]
+    return groups
+
+
+def _runs(job: Job) -> list[list[object]]:
+    """The tasks that are not placed, those alike that follow each other as one."""
+    runs: list[list[object]] = []
+    first = count = attempt = 0
+    done = False
+    for task in range(job.fresh):
+        if task in job.placed:
+            continue
+        now = job.attempts.get(task, 0), task in job.done_tasks
+        if count and first + count == task and (attempt, done) == now:
+            count += 1
+            continue
+        if count:
+            runs.append([first, count, attempt, done])
+        first, count, (attempt, done) = task, 1, now
+    if count:
+        runs.append([first, count, attempt, done])
+    return runs
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -12,11 +12,12 @@
 from .clients.store import Store
 from .clients.workers import CALLED_SHARE, Workers
 from .cluster.election import Election
-from .cluster.mail import Mail
+from .cluster.formats import MemberFormats
+from .cluster.mail import HEARTBEAT, Mail
 from .cluster.peers import Frame, Peers
 from .lead.leader import Leader
 from .lead.limits import SettingsLimits, TeamLimits
-from .ledger.commit import Ledger
+from .ledger.commit import PAGE_SHARE, Ledger
 from .policy import Policy
 from .runtime.http import Server
 from .runtime.loop import Runtime
@@ -77,28 +78,29 @@
             lambda term, version: self.leader.tell("begin", term, version),
             lambda: self.leader.tell("end"),
         )
+        self.formats = MemberFormats(runtime, settings.peers, store, policy.retry)
+        self.peers.on_hello = self.formats.hello
         self.peers.mail = Mail(
             runtime,
             settings.node,
             list(settings.peers),
             store,
             policy.mail,
-            settings.value_bytes * 7 // 8,
+            int(settings.state_limits.value_bytes * PAGE_SHARE),
             self.peers.silent,
             self._mails,
-            self._receive,
+            self._receive_mailed,
         )
         self.dispatch = Dispatch(runtime, settings, policy, self.election, self.peers, workers)
         self.ledger = Ledger(
             runtime,
             store,
-            settings.state_write_rps,
-            settings.value_bytes,
-            settings.txn_ops,
+            settings.state_limits,
             policy.retry,
             policy.first_call,
             policy.gather,
             self.election.depose,
+            self.election.refuse_to_lead,
         )
         self.leader = Leader(
             runtime,
@@ -110,6 +112,7 @@
             self.dispatch,
             rng,
             limits,
+            self.formats,
         )
         self.dispatch.deliver_to(self.leader.on_report)
         self.intake = Intake(
@@ -120,6 +123,7 @@
             self.leader,
             self.dispatch.beat,
             settings.max_sockets,
+            self.formats,
         )
         if self.membership is not None:
             self.membership.connect(
@@ -186,6 +190,11 @@
         if self.membership is not None:
             self.membership.on_pause(lost)
 
+    def _receive_mailed(self, sender: str, frame: Frame) -> None:
+        if frame["k"] == HEARTBEAT:
+            self.formats.mailed(sender, frame.get("formats"))
+        self._receive(sender, frame)
+
     def _receive(self, sender: str, frame: Frame) -> None:
         handler = self._frames.get(frame["k"])
         if handler is not None:
--- /dev/null
+++ b/flaxtally/protocol/formats.py
@@ -0,0 +1,40 @@
+"""Format versions of what controllers write for each other: ledger records, keys, frames.
+
+During a rolling upgrade old and new controllers work on one ledger. Each states the range of
+formats that it reads; who states none is of the first format. The committed cluster format, which
+the leader raises once every configured controller reads it, says what may be written.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+FIRST = 1
+"""Before versions were stated: records as in `ledger.book`, none of them a batch."""
+GANGS = 2
+"""Batches of records that are read whole or not at all; the attempts of gangs."""
+
+
+class FormatRange(NamedTuple):
+    """The formats that a controller reads, both ends included."""
+
+    oldest: int
+    newest: int
+
+
+OWN = FormatRange(FIRST, GANGS)
+"""What this program reads."""
+UNSTATED = FormatRange(FIRST, FIRST)
+"""A controller that states no range."""
+
+
+def parse_range(value: Any) -> FormatRange:
+    """The range that a frame states; `UNSTATED` if it states none."""
+    if (
+        isinstance(value, list | tuple)
+        and len(value) == 2
+        and all(type(bound) is int for bound in value)
+        and FIRST <= value[0] <= value[1]
+    ):
+        return FormatRange(*value)
+    return UNSTATED
--- a/flaxtally/settings.py
+++ b/flaxtally/settings.py
@@ -9,6 +9,9 @@
 
 from .runtime.loop import Address
 
+LEAST_VALUE_KB = 1.0
+"""The largest record that can't be divided, a job with long names, must fit into a value."""
+
 
 class SettingsError(Exception):
     """A setting is missing or wrong; the text names the field."""
@@ -39,6 +42,25 @@
     times: float = 1.0
 
 
+@dataclass(frozen=True)
+class StateLimits:
+    """What the state service accepts."""
+
+    write_rps: float
+    """Puts and deletes a second."""
+    value_bytes: int
+    txn_ops: int
+    """Puts and deletes a transaction."""
+
+    def lower(self, other: StateLimits) -> StateLimits:
+        """What both limits allow."""
+        return StateLimits(
+            min(self.write_rps, other.write_rps),
+            min(self.value_bytes, other.value_bytes),
+            min(self.txn_ops, other.txn_ops),
+        )
+
+
 @dataclass(frozen=True)
 class Settings:
     """All that the platform says."""
@@ -55,11 +77,16 @@
     objectives: tuple[Objective, ...]
     report_s: float
     lease_s: float
+    gang_wait_s: float
+    """A waiting task of a gang exits when its gang was not complete for so long."""
+    gang_peer_s: float
+    """Within this time the tasks of a gang notice that one is gone, and must be told to stop."""
     cancel_s: float
     state_rps: float
-    state_write_rps: float
-    value_bytes: int
-    txn_ops: int
+    state_limits: StateLimits
+    """What the state service accepts from the start to the end: limits that it will lower later
+    hold from the start.
+    """
     cloud_rps: float
     list_lag_s: float
     max_sockets: int
@@ -138,6 +165,9 @@
     params = top.table("params")
     endpoints = top.table("endpoints")
     workers, state, cloud = params.table("workers"), params.table("state"), params.table("cloud")
+    state_limits = _state_limits(state)
+    if state.has("next"):
+        state_limits = state_limits.lower(_state_limits(state.table("next")))
     limits = params.table("limits")
     teams = {
         name: Team(
@@ -176,11 +206,11 @@
         objectives=objectives,
         report_s=workers.number("report_s"),
         lease_s=workers.number("lease_s"),
+        gang_wait_s=workers.number("gang_wait_s"),
+        gang_peer_s=workers.number("gang_peer_s"),
         cancel_s=workers.number("cancel_s"),
         state_rps=state.number("rps"),
-        state_write_rps=state.number("write_rps"),
-        value_bytes=int(state.number("value_kb") * 1024),
-        txn_ops=int(state.number("txn_ops")),
+        state_limits=state_limits,
         cloud_rps=cloud.number("rps"),
         list_lag_s=cloud.number("list_lag_s", least=True),
         max_sockets=int(limits.number("max_sockets", 512.0)),
@@ -190,6 +220,14 @@
     return settings
 
 
+def _state_limits(table: _Table) -> StateLimits:
+    return StateLimits(
+        write_rps=table.number("write_rps"),
+        value_bytes=int(table.number("value_kb", above=LEAST_VALUE_KB, least=True) * 1024),
+        txn_ops=int(table.number("txn_ops", above=1.0, least=True)),
+    )
+
+
 def load(path: str) -> Settings:
     """Settings from a file, or `SettingsError`."""
     return parse(read_toml(path))
--- a/flaxtally/standin/demo.py
+++ b/flaxtally/standin/demo.py
@@ -11,7 +11,7 @@
 from ..ledger import book as records
 from ..protocol import wire
 from ..runtime.loop import Address, Loop
-from ..settings import Settings, Team
+from ..settings import Settings, StateLimits, Team
 from .cloud import Cloud, equal_pools
 from .settings_text import settings_text
 from .state import StateService
@@ -79,11 +79,11 @@
         objectives=(),
         report_s=REPORT_S,
         lease_s=LEASE_S,
+        gang_wait_s=40.0,
+        gang_peer_s=6.0,
         cancel_s=30.0,
         state_rps=250.0,
-        state_write_rps=40.0,
-        value_bytes=8192,
-        txn_ops=32,
+        state_limits=StateLimits(write_rps=40.0, value_bytes=8192, txn_ops=32),
         cloud_rps=3.0,
         list_lag_s=1.0,
         max_sockets=500,
--- a/tests/test_cell_map.py
+++ b/tests/test_cell_map.py
@@ -139,7 +139,7 @@
     assert set(own.peers) == {"controller-2"}
     assert own.zones == ("zone-1", "zone-2")
     # One state service and one cloud for both: rates are divided, and some are left for all.
-    assert own.state_write_rps == pytest.approx(50.0 * 0.8 / 2)
+    assert own.state_limits.write_rps == pytest.approx(50.0 * 0.8 / 2)
     assert own.cloud_rps == pytest.approx(2.5)
     assert setup.shared_state == settings.state
 
@@ -148,7 +148,7 @@
     text = SOUND.replace("version = 1", 'version = 1\nstate = "10.9.0.1:2379"')
     setup = CellSetup(read_file(write(tmp_path, text)), load(config(tmp_path)))
     assert setup.shared_state == ("10.9.0.1", 2379)
-    assert setup.own.state_write_rps == 50.0
+    assert setup.own.state_limits.write_rps == 50.0
 
 
 @pytest.mark.parametrize(
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import copy
+import itertools
 import random
 import tomllib
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
@@ -16,6 +18,7 @@
 from flaxtally.cli import main
 from flaxtally.cluster.peers import Frames, encode
 from flaxtally.ledger.book import Book, BookError
+from flaxtally.ledger.snapshot import page_records
 from flaxtally.planning.choice import choose
 from flaxtally.planning.consolidate import pick
 from flaxtally.planning.fill import plan
@@ -104,6 +107,8 @@
 report_s = 1.5
 lease_s = 10.0
 cancel_s = 30.0
+gang_wait_s = 40.0
+gang_peer_s = 6.0
 [params.state]
 rps = 250.0
 write_rps = 40.0
@@ -119,7 +124,11 @@
 
 def test_settings_are_read_and_unknown_fields_ignored() -> None:
     found = parse(tomllib.loads(SETTINGS))
-    assert (found.node, found.listen, found.value_bytes) == ("n0", ("127.0.0.1", 8080), 8192)
+    assert (found.node, found.listen, found.state_limits.value_bytes) == (
+        "n0",
+        ("127.0.0.1", 8080),
+        8192,
+    )
     assert found.teams["crew"].cores == 4.0
     assert found.teams["crew"].cores_max == 0.0
 
@@ -208,6 +217,11 @@
     return finals, jobs, usage
 
 
+def said_anew(book: Book) -> list[list[Any]]:
+    """The records by which the first page is cleaned."""
+    return list(itertools.chain.from_iterable(page_records(book, 1, 2000)))
+
+
 @given(st.integers(0, 10**6), st.integers(0, 120))
 @settings(derandomize=True, max_examples=60)
 def test_replay_and_snapshot_mean_the_same(seed: int, steps: int) -> None:
@@ -219,7 +233,7 @@
         replayed.replay(record, 1)
     # The first page is cleaned and gone; what was written since, before the snapshot, is still
     # there.
-    for record in [*records[len(records) // 2 :], *book.snapshot(1)]:
+    for record in [*records[len(records) // 2 :], *said_anew(book)]:
         rewritten.replay(record, 2)
     assert picture(replayed) == picture(book)
     assert picture(rewritten) == picture(book)
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -47,7 +47,11 @@
 
     def settings_of(self, node: str) -> Settings:
         settings = dataclasses.replace(super().settings_of(node), max_sockets=self._sockets)
-        return dataclasses.replace(settings, state_rps=700.0, state_write_rps=50.0)
+        return dataclasses.replace(
+            settings,
+            state_rps=700.0,
+            state_limits=dataclasses.replace(settings.state_limits, write_rps=50.0),
+        )
 
     def sessions(self) -> list[int]:
         """Each machine's session: 1 as long as it never lost its lease."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -16,7 +16,7 @@
 from flaxtally.node import Node
 from flaxtally.protocol import wire
 from flaxtally.runtime.http import Client, Reply
-from flaxtally.settings import Objective, Settings, Team
+from flaxtally.settings import Objective, Settings, StateLimits, Team
 from flaxtally.standin.cloud import Cloud, equal_pools
 from flaxtally.standin.state import StateService
 from flaxtally.standin.worker import Worker
@@ -31,6 +31,7 @@
     wire.MachineType("g8", 32.0, 8.0, 256.0, 200.0, 4.0, 12.0, 4.0, 10.0, list(ZONES)),
 ]
 CANCEL_S = 30.0
+GANG_WAIT_S, GANG_PEER_S = 20.0, 4.0
 
 
 def spec(ref: str, **changes: Any) -> wire.Spec:
@@ -85,12 +86,14 @@
         seed: int = 1,
         team: Team | None = None,
         value_bytes: int = 8192,
+        txn_ops: int = 32,
         nodes: tuple[str, ...] = NODES,
         capacity: int = 4,
         objectives: tuple[Objective, ...] = (),
         guests: tuple[Team, ...] = (),
     ) -> None:
-        self.value_bytes, self.names, self.objectives = value_bytes, nodes, objectives
+        self.value_bytes, self.txn_ops = value_bytes, txn_ops
+        self.names, self.objectives = nodes, objectives
         self.sim = Sim(seed)
         self.rng = random.Random(seed)
         self.team = team or Team("crew", 0.0, 200.0, 0.0, 64.0)
@@ -163,11 +166,11 @@
             objectives=self.objectives,
             report_s=1.5,
             lease_s=10.0,
+            gang_wait_s=GANG_WAIT_S,
+            gang_peer_s=GANG_PEER_S,
             cancel_s=CANCEL_S,
             state_rps=250.0,
-            state_write_rps=40.0,
-            value_bytes=self.value_bytes,
-            txn_ops=32,
+            state_limits=StateLimits(40.0, self.value_bytes, self.txn_ops),
             cloud_rps=3.0,
             list_lag_s=1.0,
             max_sockets=500,
--- a/tools/limits.py
+++ b/tools/limits.py
@@ -15,9 +15,13 @@
 
 import msgspec
 
-from flaxtally.ledger.book import Book, Record
+from flaxtally.ledger.batch import Record
+from flaxtally.ledger.book import Book
+from flaxtally.ledger.snapshot import page_records
 from flaxtally.protocol import wire
 
+PAGE_BYTES = 7 * 1024
+
 
 def spec(number: int) -> wire.Spec:
     service = number % 3 == 0
@@ -84,7 +88,7 @@
         print(f"{jobs} jobs {text}: {tracemalloc.get_traced_memory()[0] / 2**20:.1f} MB")
         tracemalloc.stop()
         timed(f"  replay of {len(found)} records", lambda found=found: fill(found))  # type: ignore[misc]
-        timed("  a snapshot of one page", lambda book=book: book.snapshot(1))  # type: ignore[misc]
+        timed("  a snapshot of one page", lambda book=book: page_records(book, 1, PAGE_BYTES))  # type: ignore[misc]
         timed("  weight of everything", book.weight)
     final = Book()
     tracemalloc.start()
--- a/tools/start_cost.py
+++ b/tools/start_cost.py
@@ -29,7 +29,11 @@
 state = "127.0.0.1:1"
 [params]
 zones = ["a"]
-workers = {{ report_s = 1.5, lease_s = 10.0, cancel_s = 30.0 }}
+workers.report_s = 1.5
+workers.lease_s = 10.0
+workers.gang_wait_s = 40.0
+workers.gang_peer_s = 6.0
+workers.cancel_s = 30.0
 state = {{ rps = 250.0, write_rps = 40.0, value_kb = 8.0, txn_ops = 32 }}
 cloud = {{ rps = 3.0, list_lag_s = 4.0 }}
 limits = {{ max_sockets = 700 }}
