Gangs: placed, launched, replaced, stopped and given up as a whole

Need: a lost task of a gang came back alone under another attempt number, so the gang never met again, and a stop was one task's. Change: the package gangs decides by the ledger and the reports what is next (pure); lead/gangs carries it out. An attempt is one batch of placements, launched once it is committed whole; a task lost before the start is replaced under the same attempt number, one lost later ends the attempt; one that is done ends the job. The plan aims each class at one zone. Stand-in workers have gangs.

--- a/flaxtally/emulator/hollow_worker.py
+++ b/flaxtally/emulator/hollow_worker.py
@@ -7,7 +7,8 @@
 
 from ..protocol import wire
 from ..runtime.loop import Address
-from ..standin.worker import Held, Worker
+from ..standin.held_task import Held
+from ..standin.worker import Worker
 from .load import Load, number_of
 from .measured import CountingLoop, MeasuredClient
 from .plan import Plan
--- a/flaxtally/emulator/workers.py
+++ b/flaxtally/emulator/workers.py
@@ -6,7 +6,7 @@
 
 from ..protocol import wire
 from ..settings import address
-from ..standin.worker import Held
+from ..standin.held_task import Held
 from .hollow_worker import HollowWorker
 from .load import Load
 from .measured import CountingLoop
--- /dev/null
+++ b/flaxtally/gangs/room.py
@@ -0,0 +1,106 @@
+"""Machines for the tasks of a gang: for all of them, or for none. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from ..planning.choice import choose, fetch_seconds
+from ..planning.fleet import Machine
+from ..planning.machine_index import Fit, MachineIndex
+from ..planning.placement import GpuNeeds
+from ..protocol import wire
+
+Keep = Callable[[Machine], bool]
+
+
+@dataclass(frozen=True)
+class GangSearch:
+    """What a search for the tasks of one gang goes by."""
+
+    spec: wire.Spec
+    job_no: int
+    machines: MachineIndex
+    needs: GpuNeeds | None
+    """None: nothing is kept for GPU tasks, and slow machines will do."""
+    sample: int
+    keep: Keep | None
+    """Which machines may be used, beside the job's own conditions; None: any."""
+
+    def one(self, shut: Collection[str], last: Machine | None) -> Machine | None:
+        """A machine for one more task: that of the task before while it holds one more."""
+        if last is not None and last.zone not in shut:
+            fits = Fit(self.spec, self.needs, self.keep)
+            if fits(last, self.machines.kinds[last.kind]):
+                return last
+        return choose(
+            self.spec, self.job_no, self.machines, self.needs, self.sample, shut, self.keep
+        )
+
+
+class Choice(NamedTuple):
+    """Machines for all tasks of a gang, and about how long the last image takes, in seconds."""
+
+    machines: list[Machine]
+    fetch: float
+
+
+def choose_all(search: GangSearch, zones: Collection[str], longest_fetch: float) -> Choice | None:
+    """Machines for all tasks of the gang; None: there is not room for all.
+
+    Of zones that can each hold a gang that must be in one, the one in which it begins first. None
+    too if its images would take longer than `longest_fetch` seconds everywhere.
+    """
+    best: Choice | None = None
+    for allowed in [{zone} for zone in sorted(zones)] if search.spec.one_zone else [set(zones)]:
+        found = _choose_in(search, search.spec.tasks, allowed, zones, {})
+        if found is None or found.fetch > longest_fetch:
+            continue
+        if best is None or found.fetch < best.fetch:
+            best = found
+        if not best.fetch:
+            break
+    return best
+
+
+def choose_missing(
+    search: GangSearch,
+    count: int,
+    zones: Collection[str],
+    placed: dict[str, int],
+    longest_fetch: float,
+) -> Choice | None:
+    """Machines for tasks of a gang whose others wait, by zone in `placed`; None: not for all."""
+    allowed = set(placed) if search.spec.one_zone else set(zones)
+    found = _choose_in(search, count, allowed, zones, placed)
+    return None if found is None or found.fetch > longest_fetch else found
+
+
+def _choose_in(
+    search: GangSearch,
+    count: int,
+    allowed: Collection[str],
+    zones: Iterable[str],
+    placed: dict[str, int],
+) -> Choice | None:
+    spec, index = search.spec, search.machines
+    most = spec.zone_share if spec.spread else spec.tasks
+    taken = dict(placed)
+    claimed: list[Machine] = []
+    fetch = 0.0
+    for _ in range(count):
+        shut = {zone for zone in zones if zone not in allowed or taken.get(zone, 0) >= most}
+        machine = search.one(shut, claimed[-1] if claimed else None)
+        if machine is None:
+            break
+        fetch = max(fetch, fetch_seconds(spec, machine, index.kinds[machine.kind]))
+        taken[machine.zone] = taken.get(machine.zone, 0) + 1
+        machine.claim(spec, 1)
+        index.update(machine)
+        claimed.append(machine)
+    for machine in claimed:
+        machine.claim(spec, -1)
+    for machine in dict.fromkeys(claimed):
+        index.update(machine)
+    return Choice(claimed, fetch) if len(claimed) == count else None
--- a/flaxtally/lead/demand_forecast.py
+++ b/flaxtally/lead/demand_forecast.py
@@ -4,13 +4,16 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 
 from ..ledger.book import Job
 from ..planning import fill, placement
 from ..planning.best_effort import dear_types
+from ..planning.fleet import Pool
 from ..planning.packing import Demand
 from ..protocol.shape import Shape
+from .gang_zones import GangZones
 from .jobs import Jobs
 from .term import Term, TermActor
 
@@ -21,9 +24,11 @@
 class DemandForecast(TermActor):
     """Owns what the plan knows of each lane's running tasks and reserves."""
 
-    def __init__(self, term: Term, jobs: Jobs) -> None:
+    def __init__(self, term: Term, jobs: Jobs, is_resting: Callable[[Pool], bool]) -> None:
+        """`is_resting`: whether a pool refused a short while ago."""
         super().__init__(term)
         self.jobs = jobs
+        self._gang_zones = GangZones(term, jobs, is_resting)
         # Lanes whose wait aim no new machine can meet: room for their next job must be there before
         # it.
         self._reserve = {
@@ -45,6 +50,7 @@
             if job.placed and not job.final and job.spec.best_effort:
                 self._add_running(by_shape, job)
         self._add_expected(by_shape, now)
+        self._gang_zones.aim(by_shape.values(), now)
         demands = fill.merged(by_shape.values())
         self._note_dear_types(demands)
         self._count_machines(demands)
--- /dev/null
+++ b/flaxtally/lead/gangs.py
@@ -0,0 +1,319 @@
+"""Gangs under the leader: they are placed, launched, replaced, stopped and given up as a whole."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+
+from ..gangs.life import Phase, Situation, Step, Times, next_step, phase_of, situation_of
+from ..gangs.room import Choice, GangSearch, Keep, choose_all, choose_missing
+from ..ledger import book as records
+from ..ledger.book import Job, Placement
+from ..planning.fleet import Machine
+from ..planning.machine_index import MachineIndex
+from ..protocol import formats, wire
+from .jobs import Jobs
+from .orders import Orders
+from .term import Term, TermActor
+
+log = logging.getLogger(__name__)
+
+FETCH_SHARE = 0.8
+"""Of `gang_wait_s`: a gang whose last image takes longer would not be complete in time."""
+
+
+class _Attempt:
+    """What this leader knows of a gang's attempt beside the ledger."""
+
+    __slots__ = (
+        "has_run",
+        "is_broken",
+        "launched_at",
+        "lost_on",
+        "number",
+        "stop_leeway",
+        "stopped_at",
+    )
+
+    def __init__(self, number: int, now: float) -> None:
+        self.number = number
+        self.launched_at = now
+        self.has_run = self.is_broken = False
+        self.stopped_at: float | None = None
+        self.stop_leeway = 0.0
+        self.lost_on: set[str] = set()
+        """Machines that may still list a task of the attempt that is over there."""
+
+
+class Gangs(TermActor):
+    """Owns the attempts of gangs in this term.
+
+    An attempt is one batch of records: it is committed whole or not at all, and nothing of it is
+    launched before. The next attempt begins when no task of the last one is on a machine any more.
+    """
+
+    def __init__(self, term: Term, jobs: Jobs, orders: Orders) -> None:
+        super().__init__(term)
+        self.jobs, self.orders = jobs, orders
+        self._times = Times(self.settings.gang_wait_s, self.settings.gang_peer_s)
+        self._attempts: dict[int, _Attempt] = {}
+        self._no_room: dict[int, float] = {}
+        """Gangs for which there was no room, and when to look again."""
+        self.over: Callable[[Placement, str], None] = lambda *_: None
+        """Says that a placement is proven over. The tracker, which owns the proofs, sets it."""
+
+    # Placing
+
+    def place(self, job: Job, index: MachineIndex, needs: bool, keep: Keep | None) -> int:
+        """Places what is due of a gang, all of it or nothing; returns how many tasks.
+
+        `needs`: what GPU tasks need beside their GPUs is kept for them.
+        """
+        now = self.runtime.now()
+        if self.ledger.book.format < formats.GANGS or self._no_room.get(job.no, 0.0) > now:
+            return 0
+        step = self._next_step(job)
+        if step not in (Step.PLACE, Step.REPLACE):
+            return 0
+        missing = [task for task in range(job.spec.tasks) if task not in job.placed]
+        choice = self._choose(job, len(missing), index, needs, keep)
+        if choice is not None:
+            attempt = job.newest_attempt + (step is Step.PLACE)
+            self._reserve(job, attempt, missing, choice.machines)
+            return len(missing)
+        self._no_room[job.no] = now + self.policy.retry / 2
+        if step is Step.REPLACE:
+            self._abandon(job, "no room for a lost task")
+        return 0
+
+    def _choose(
+        self, job: Job, count: int, index: MachineIndex, needs: bool, keep: Keep | None
+    ) -> Choice | None:
+        if not self.jobs.within_limit(job.spec, count):
+            return None
+        gpu_needs = self.jobs.needs if needs else None
+        search = GangSearch(job.spec, job.no, index, gpu_needs, self.policy.sample, keep)
+        longest = FETCH_SHARE * self._times.wait
+        if not job.placed:
+            return choose_all(search, self.fleet.zones, longest)
+        lost_on = self._attempt_of(job).lost_on
+
+        def keep_others(machine: Machine) -> bool:
+            return machine.name not in lost_on and (keep is None or keep(machine))
+
+        search = replace(search, keep=keep_others)
+        return choose_missing(search, count, self.fleet.zones, job.zone_counts, longest)
+
+    def _reserve(self, job: Job, attempt: int, tasks: list[int], machines: list[Machine]) -> None:
+        """Proposes the placements together; they are launched when the last is committed."""
+        now = self.runtime.now()
+        placed: list[Placement] = []
+        self.ledger.propose_batch(
+            [
+                [records.PLACED, job.no, task, attempt, machine.name, machine.zone]
+                for task, machine in zip(tasks, machines, strict=True)
+            ],
+            lambda: self._committed(job, placed),
+        )
+        for task, machine in zip(tasks, machines, strict=True):
+            placement = job.placed[task]
+            placement.proposed_at = now
+            placed.append(placement)
+            machine.use(placement)
+        job.waits_since = now
+        known = self._attempts.get(job.no)
+        if known is None or known.number != attempt:
+            self._attempts[job.no] = _Attempt(attempt, now)
+        log.info(
+            "event=gang_placed term=%d job=%s attempt=%d tasks=%d of=%d queued=%.2f",
+            self.term.number,
+            job.spec.ref,
+            attempt,
+            len(tasks),
+            job.spec.tasks,
+            now - job.known_at,
+        )
+
+    def _committed(self, job: Job, placed: list[Placement]) -> None:
+        left = [each for each in placed if job.placed.get(each.task) is each]
+        for each in left:
+            each.committed = True
+        whole = len(job.placed) == job.spec.tasks and self._attempt_of(job).stopped_at is None
+        if whole and not job.cancelled:
+            for each in left:
+                self.orders.launch(each)
+            return
+        # A machine was released meanwhile, or the user cancelled: nothing of it was launched.
+        for each in left:
+            self.over(each, "withdrawn before launch")
+        self.look(job)
+
+    # What happens to an attempt
+
+    def running(self, placed: Placement) -> None:
+        """A task of a gang was reported as running."""
+        attempt = self._attempt_of(placed.job)
+        if not attempt.has_run:
+            attempt.has_run = True
+            log.info(
+                "event=gang_running term=%d job=%s attempt=%d after=%.2f",
+                self.term.number,
+                placed.job.spec.ref,
+                placed.attempt,
+                self.runtime.now() - placed.job.known_at,
+            )
+
+    def ended(self, placed: Placement, done: bool, cause: str) -> None:
+        """A task of a gang is proven over, by that cause."""
+        job = placed.job
+        if placed.attempt == job.newest_attempt:
+            self._attempt_of(job).lost_on.add(placed.machine)
+        if done:
+            log.info(
+                "event=gang_done term=%d job=%s attempt=%d",
+                self.term.number,
+                job.spec.ref,
+                placed.attempt,
+            )
+        elif cause in (wire.CAUSE_PEERS, wire.CAUSE_ALONE):
+            # What is left of the attempt exits too: waiting for it would only take time.
+            self._attempt_of(job).is_broken = True
+        self._no_room.pop(job.no, None)
+        self.look(job)
+
+    def look(self, job: Job) -> None:
+        """Gives the attempt up if it can't be completed any more."""
+        if job.placed and self._next_step(job) is Step.ABANDON:
+            self._abandon(job, "a task is gone")
+
+    def watch(self) -> None:
+        """Repeats orders to stop that were not carried out; forgets gangs that are over."""
+        for no in list(self._attempts):
+            job = self.jobs.live.get(no)
+            if job is None:
+                del self._attempts[no]
+                self._no_room.pop(no, None)
+        for job in list(self.jobs.live.values()):
+            if job.spec.kind == wire.GANG and job.placed and not job.final:
+                self._take_up_stop(job)
+                self.look(job)
+                self._repeat_stops(job)
+
+    def _take_up_stop(self, job: Job) -> None:
+        """Goes on with a stop that an earlier leader began: all tasks must be told in time."""
+        saving = any(placed.state == wire.FLUSHING for placed in job.placed.values())
+        if saving and len(job.placed) == job.spec.tasks:
+            self.stop(job, "an earlier leader began it")
+
+    def phase(self, job: Job) -> Phase:
+        """Where the gang stands."""
+        return phase_of(self._situation(job))
+
+    # Stopping
+
+    def can_stop(self, job: Job) -> bool:
+        """Whether all tasks can be told to save in time: their machines answer."""
+        return self.phase(job) in (Phase.WAITING, Phase.RUNNING) and all(
+            self._hears(placed) for placed in job.placed.values()
+        )
+
+    def loss(self, job: Job) -> float:
+        """Seconds of work, of all tasks together, that a stop of the gang throws away."""
+        now, spec = self.runtime.now(), job.spec
+        ran = [now - placed.ran_at for placed in job.placed.values() if placed.ran_at is not None]
+        if not ran:
+            return 0.0
+        return len(ran) * spec.save if spec.checkpoint else sum(ran)
+
+    def stop(self, job: Job, why: str) -> None:
+        """Tells all tasks to save and exit: one decision for the whole gang."""
+        attempt = self._attempt_of(job)
+        if attempt.stopped_at is not None or attempt.is_broken:
+            return
+        attempt.stopped_at = self.runtime.now()
+        attempt.stop_leeway = job.spec.save if job.spec.checkpoint else 0.0
+        log.info(
+            "event=gang_stop term=%d job=%s attempt=%d why=%r",
+            self.term.number,
+            job.spec.ref,
+            attempt.number,
+            why,
+        )
+        for placed in job.placed.values():
+            self.orders.stop(placed, attempt.stop_leeway)
+
+    def noticed(self, job: Job, notice: float) -> None:
+        """A machine of the gang is taken by the cloud in `notice` seconds."""
+        saves = job.spec.checkpoint and job.spec.save + self._times.peer < notice
+        phase = self.phase(job)
+        if phase in (Phase.LAUNCHING, Phase.WAITING) or (phase is Phase.RUNNING and saves):
+            self.stop(job, "a machine is taken")
+
+    def _abandon(self, job: Job, why: str) -> None:
+        attempt = self._attempt_of(job)
+        if attempt.is_broken and attempt.stopped_at is None and self._all_told(job):
+            return
+        log.info(
+            "event=gang_abandoned term=%d job=%s attempt=%d left=%d ran=%s why=%r",
+            self.term.number,
+            job.spec.ref,
+            attempt.number,
+            len(job.placed),
+            attempt.has_run,
+            why,
+        )
+        attempt.is_broken, attempt.stopped_at, attempt.stop_leeway = True, None, 0.0
+        for placed in job.placed.values():
+            if placed.committed:
+                self.orders.stop(placed, 0.0)
+
+    @staticmethod
+    def _all_told(job: Job) -> bool:
+        return all(placed.stopping_at is not None for placed in job.placed.values())
+
+    def _repeat_stops(self, job: Job) -> None:
+        attempt, now = self._attempt_of(job), self.runtime.now()
+        if not attempt.is_broken and attempt.stopped_at is None:
+            return
+        for placed in job.placed.values():
+            saving = placed.state == wire.FLUSHING and not attempt.is_broken
+            if saving or not placed.committed or (placed.open and not placed.seen):
+                # An unanswered launch is repeated first: only a task that is seen can be proven
+                # over.
+                continue
+            if now - placed.sent_at > self.policy.retry:
+                self.orders.stop(placed, attempt.stop_leeway)
+
+    # What is known
+
+    def _attempt_of(self, job: Job) -> _Attempt:
+        newest = job.newest_attempt
+        attempt = self._attempts.get(job.no)
+        if attempt is None or attempt.number != newest:
+            # Of an earlier term: what its tasks did is learnt from reports.
+            attempt = self._attempts[job.no] = _Attempt(newest, self.term.began)
+        return attempt
+
+    def _situation(self, job: Job) -> Situation:
+        attempt, now = self._attempt_of(job), self.runtime.now()
+        stopped = attempt.stopped_at
+        return situation_of(
+            job,
+            attempt.has_run,
+            attempt.is_broken,
+            None if stopped is None else now - stopped,
+            now - attempt.launched_at,
+        )
+
+    def _next_step(self, job: Job) -> Step:
+        return next_step(self._situation(job), self._times, job.spec.save)
+
+    def _hears(self, placed: Placement) -> bool:
+        machine = self.fleet.machines.get(placed.machine)
+        return (
+            machine is not None
+            and placed.seen
+            and not machine.deaf
+            and self.runtime.now() - machine.heard_at < self.policy.machine_suspect
+        )
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -214,7 +214,9 @@
     def run_length(self, spec: wire.Spec) -> float:
         """How long a task is expected to take room."""
         return (
-            spec.estimate if spec.kind == wire.ARRAY and spec.estimate else self.policy.plan_horizon
+            spec.estimate
+            if spec.kind != wire.SERVICE and spec.estimate
+            else self.policy.plan_horizon
         )
 
     @property
--- a/flaxtally/lead/leader.py
+++ b/flaxtally/lead/leader.py
@@ -24,6 +24,7 @@
 from ..settings import Settings
 from .consolidation import Consolidation
 from .failures import Failures
+from .gangs import Gangs
 from .jobs import Answer, Jobs
 from .limits import TeamLimits
 from .orders import OrderCarrier, Orders
@@ -77,8 +78,11 @@
         self.jobs = Jobs(term, self.orders)
         self.stragglers = Stragglers(term, self.jobs, self.orders)
         self.failures = Failures(term, self.jobs)
-        self.tracker = Tracker(term, self.jobs, self.orders, self.stragglers, self.failures)
-        self.scheduler = Scheduler(term, self.jobs, self.tracker, self.orders)
+        self.gangs = Gangs(term, self.jobs, self.orders)
+        self.tracker = Tracker(
+            term, self.jobs, self.orders, self.stragglers, self.failures, self.gangs
+        )
+        self.scheduler = Scheduler(term, self.jobs, self.tracker, self.orders, self.gangs)
         self.planner = Planner(term, self.jobs, self.tracker, self.orders)
         self.consolidation = Consolidation(
             term, self.jobs, self.tracker, self.orders, self.planner, self.scheduler
@@ -214,6 +218,7 @@
             self._raise_format()
             self.tracker.watch()
             self.stragglers.watch()
+            self.gangs.watch()
             self.consolidation.continue_moves(self.runtime.now())
             self.tracker.flush_releases()
             self.scheduler.reconcile()
--- a/flaxtally/lead/planner.py
+++ b/flaxtally/lead/planner.py
@@ -45,7 +45,7 @@
         self._turns = 0
         self._rentals = Rentals(term, self.plan)
         self._rooms = RoomForecast(term, self._rentals)
-        self._demand = DemandForecast(term, jobs)
+        self._demand = DemandForecast(term, jobs, self._rentals.is_resting)
 
     def learn_kinds(self) -> None:
         """Asks for the catalogue again and again: spot prices move."""
--- a/flaxtally/lead/preemption.py
+++ b/flaxtally/lead/preemption.py
@@ -11,6 +11,7 @@
 from ..planning.machine_index import MachineIndex
 from ..protocol import wire
 from .claims import Claim, Claims, TaskKey
+from .gangs import Gangs
 from .jobs import Jobs
 from .orders import Orders
 from .term import Term, TermActor
@@ -21,9 +22,9 @@
 class Preemption(TermActor):
     """Owns the claims on room for which others were stopped."""
 
-    def __init__(self, term: Term, jobs: Jobs, orders: Orders) -> None:
+    def __init__(self, term: Term, jobs: Jobs, orders: Orders, gangs: Gangs) -> None:
         super().__init__(term)
-        self.jobs, self.orders = jobs, orders
+        self.jobs, self.orders, self.gangs = jobs, orders, gangs
         self._claims = Claims()
         self._preempted: dict[TaskKey, float] = {}
         """Tasks for which others were stopped, and until when their room is kept."""
@@ -134,7 +135,11 @@
         rank = wire.RANKS[spec.rank]
         self._claims.add(machine.name, key, Claim(rank, until, spec, moving))
         for placed in victims:
-            if placed.stopping_at is None:
+            if placed.stopping_at is not None:
+                continue
+            if placed.job.spec.kind == wire.GANG:
+                self.gangs.stop(placed.job, "preempted")
+            else:
                 self.orders.stop(placed, placed.job.spec.save)
         return until
 
@@ -170,6 +175,8 @@
         its own, of which little may be lost.
         """
         other = placed.job.spec
+        if other.kind == wire.GANG and not self.gangs.can_stop(placed.job):
+            return False
         return wire.RANKS[other.rank] > wire.RANKS[spec.rank] or (
             entitled
             and placed.job.no in self.jobs.queue.beyond
@@ -185,9 +192,10 @@
             left = left.minus(claim.spec)
         return left
 
-    @staticmethod
-    def _loss(placed: Placement, now: float) -> float:
+    def _loss(self, placed: Placement, now: float) -> float:
         """Seconds of work that a stop throws away."""
         if placed.stopping_at is not None or placed.ran_at is None:
             return 0.0
+        if placed.job.spec.kind == wire.GANG:
+            return self.gangs.loss(placed.job)
         return placed.job.spec.save if placed.job.spec.checkpoint else now - placed.ran_at
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -8,9 +8,10 @@
 from ..ledger import book as records
 from ..ledger.book import Job, Placement
 from ..planning import placement
-from ..planning.choice import choose
 from ..planning.fleet import Machine
 from ..planning.machine_index import Fit, MachineIndex
+from ..protocol import wire
+from .gangs import Gangs
 from .jobs import MOST_BACKLOG, Jobs
 from .orders import Orders
 from .preemption import Preemption
@@ -29,10 +30,12 @@
 class Scheduler(TermActor):
     """Owns the passes over the queue and the index of the machines that may be used."""
 
-    def __init__(self, term: Term, jobs: Jobs, tracker: Tracker, orders: Orders) -> None:
+    def __init__(
+        self, term: Term, jobs: Jobs, tracker: Tracker, orders: Orders, gangs: Gangs
+    ) -> None:
         super().__init__(term)
-        self.jobs, self.tracker, self.orders = jobs, tracker, orders
-        self.preemption = Preemption(term, jobs, orders)
+        self.jobs, self.tracker, self.orders, self.gangs = jobs, tracker, orders, gangs
+        self.preemption = Preemption(term, jobs, orders, gangs)
         self.looked = 0
         """Machines that the scheduler looked at, in all."""
         self._pass_requested = False
@@ -144,43 +147,12 @@
         allowed = placement.allowed(spec, kind, machine.zone, machine.spot)
         return machine if allowed and fits(machine, kind) else None
 
-    def place_gang(self, job: Job, index: MachineIndex) -> int:
-        """A gang starts when all its tasks have room at once; a lost task is replaced singly."""
-        spec, count = job.spec, job.waiting
-        if not self.jobs.within_limit(spec, count):
-            return 0
-        for zones in (
-            [{zone} for zone in sorted(self.fleet.zones)] if spec.one_zone else [self.fleet.zones]
-        ):
-            chosen = self._choose_gang(job, count, zones, index)
-            if len(chosen) == count:
-                for machine in chosen:
-                    self.place(job, machine)
-                return count
-        return 0
-
-    def _choose_gang(
-        self, job: Job, count: int, zones: set[str], index: MachineIndex
-    ) -> list[Machine]:
-        """Machines for all tasks of a gang, or for fewer if there is not room for all."""
-        spec = job.spec
-        most = spec.zone_share if spec.spread else count
-        chosen: list[Machine] = []
-        for _ in range(count):
-            counts = [machine.zone for machine in chosen]
-            shut = {
-                zone for zone in self.fleet.zones if zone not in zones or counts.count(zone) >= most
-            }
-            machine = choose(spec, job.no, index, self.jobs.needs, self.policy.sample, shut)
-            if machine is None:
-                break
-            machine.claim(spec, 1)
+    def place_gang(self, job: Job, index: MachineIndex, overdue: bool) -> int:
+        keep = self.preemption.unclaimed_by(wire.RANKS[job.spec.rank])
+        count = self.gangs.place(job, index, not overdue, keep)
+        if count:
             self._take_up_changes()
-            chosen.append(machine)
-        for machine in chosen:
-            machine.claim(spec, -1)
-        self._take_up_changes()
-        return chosen
+        return count
 
     def place(self, job: Job, machine: Machine) -> None:
         """Proposes the placement of the job's next task; it is launched once that is committed."""
--- a/flaxtally/lead/scheduling_pass.py
+++ b/flaxtally/lead/scheduling_pass.py
@@ -41,8 +41,11 @@
     def place(self, job: Job, machine: Machine) -> None:
         """Places the job's next task."""
 
-    def place_gang(self, job: Job, index: MachineIndex) -> int:
-        """Places all tasks of a gang, or none; returns how many."""
+    def place_gang(self, job: Job, index: MachineIndex, overdue: bool) -> int:
+        """Places all that is due of a gang, or nothing; returns how many tasks.
+
+        `overdue`: it takes any room, like others that have waited for long.
+        """
 
 
 class _Search(NamedTuple):
@@ -103,12 +106,12 @@
 
     def _place_tasks(self, job: Job, full: placement.Exhausted) -> bool:
         """Places the job's waiting tasks; False: there is no room for one, nor for its like."""
+        spec = job.spec
         suspect = job.no in self._jobs.suspects
-        if suspect and job.placed:
+        if suspect and job.placed and spec.kind != wire.GANG:
             return True
-        spec = job.spec
-        if spec.kind == wire.GANG and not job.placed:
-            self.placed += self._scheduler.place_gang(job, self._index)
+        if spec.kind == wire.GANG:
+            self.placed += self._scheduler.place_gang(job, self._index, self._is_overdue(job))
             return True
         keep = self._preemption.unclaimed_by(wire.RANKS[spec.rank])
         last: Machine | None = None
@@ -167,7 +170,10 @@
             bool(spec.gpus),
             shut,
         )
-        return _Search(like, self._now - job.waits_since > self._policy.keep_patience)
+        return _Search(like, self._is_overdue(job))
+
+    def _is_overdue(self, job: Job) -> bool:
+        return self._now - job.waits_since > self._policy.keep_patience
 
     def _choose(
         self,
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -12,6 +12,7 @@
 from ..planning.fleet import Machine
 from ..protocol import wire
 from .failures import Failures
+from .gangs import Gangs
 from .jobs import Jobs
 from .orders import Orders
 from .stragglers import Stragglers
@@ -27,10 +28,18 @@
     """Owns the proofs: it alone says that a placement is over."""
 
     def __init__(
-        self, term: Term, jobs: Jobs, orders: Orders, stragglers: Stragglers, failures: Failures
+        self,
+        term: Term,
+        jobs: Jobs,
+        orders: Orders,
+        stragglers: Stragglers,
+        failures: Failures,
+        gangs: Gangs,
     ) -> None:
         super().__init__(term)
         self.jobs, self.orders, self.stragglers, self.failures = jobs, orders, stragglers, failures
+        self.gangs = gangs
+        gangs.over = lambda placed, why: self.over(placed, False, why)
         self._exits: dict[str, dict[tuple[str, int], Placement]] = {}
         """Placements whose exit was reported, by machine and by task and attempt."""
         self._releasing_now = False
@@ -128,14 +137,8 @@
             if placed.launch_session:
                 if placed.launch_session < machine.session:
                     self.over(placed, False, "session")
-                elif (
-                    not placed.seen
-                    and now - placed.sent_at > self.policy.order_call
-                    and not placed.job.cancelled
-                ):
-                    self.orders.launch(placed)
-                elif not placed.seen and placed.job.cancelled and placed.open == 0:
-                    self.over(placed, False, "never launched")
+                elif not placed.seen:
+                    self._not_seen(placed, now)
             elif placed.inherited:
                 self.over(placed, False, "absent")
             return
@@ -144,9 +147,15 @@
             self._exited(machine, placed, task)
             return
         if task.state != placed.state:
+            if task.state not in wire.TASK_STATES:
+                log.warning("event=unknown_state task=%s state=%r", placed.name, task.state)
             placed.state = task.state
+            if task.state in (wire.RUNNING, wire.WAITING):
+                self._note_image(machine, placed)
             if task.state == wire.RUNNING and placed.ran_at is None:
                 placed.ran_at = now
+                if placed.job.spec.kind == wire.GANG:
+                    self.gangs.running(placed)
                 log.debug(
                     "event=running term=%d task=%s lane=%s attempt=%d machine=%s type=%s spot=%s "
                     "queued=%.2f starting=%.2f cached=%s",
@@ -161,13 +170,24 @@
                     now - placed.proposed_at,
                     placed.job.spec.image in machine.images,
                 )
-                kind = self.term.kinds.get(machine.kind)
-                machine.note_image(
-                    placed.job.spec.image, placed.job.spec.image_gb, kind.cache if kind else 0.0
-                )
         if placed.job.ending and now - placed.sent_at > self.policy.retry:
             self.orders.stop(placed, 0.0)
 
+    def _not_seen(self, placed: Placement, now: float) -> None:
+        """A believed report lacks a task that was launched in this term and never seen."""
+        job = placed.job
+        withdrawn = job.final or (job.spec.kind == wire.GANG and placed.stopping_at is not None)
+        if withdrawn and placed.open == 0:
+            # No copy of its launch is under way.
+            self.over(placed, False, "never launched")
+        elif not job.final and now - placed.sent_at > self.policy.order_call:
+            self.orders.launch(placed)
+
+    def _note_image(self, machine: Machine, placed: Placement) -> None:
+        """The task has its image: the machine keeps it."""
+        kind, spec = self.term.kinds.get(machine.kind), placed.job.spec
+        machine.note_image(spec.image, spec.image_gb, kind.cache if kind else 0.0)
+
     def _exited(self, machine: Machine, placed: Placement, task: wire.TaskReport) -> None:
         cause = task.cause
         if cause == wire.CAUSE_DONE:
@@ -239,6 +259,8 @@
             self.failures.forget(job)
         elif not done:
             self.jobs.queue.waits_again(job)
+        if job.spec.kind == wire.GANG:
+            self.gangs.ended(placed, done, why)
         self.term.request_pass()
 
     def _noticed(self, machine: Machine, notice: float) -> None:
@@ -254,9 +276,11 @@
             notice,
             len(machine.placements),
         )
-        for placed in machine.placements.values():
+        for placed in list(machine.placements.values()):
             spec = placed.job.spec
-            if spec.checkpoint and placed.state == wire.RUNNING and spec.save < notice:
+            if spec.kind == wire.GANG:
+                self.gangs.noticed(placed.job, notice)
+            elif spec.checkpoint and placed.state == wire.RUNNING and spec.save < notice:
                 self.orders.stop(placed, spec.save)
             elif spec.kind != wire.SERVICE and not spec.checkpoint:
                 # What can't end before the machine is taken is lost either way: better begun
--- a/flaxtally/planning/fleet.py
+++ b/flaxtally/planning/fleet.py
@@ -147,7 +147,7 @@
             self.anchors += not placement.best_effort
             self.pinned += _pins(placement.job.spec)
         self.placements[key] = placement
-        if placement.job.spec.kind == wire.ARRAY:
+        if placement.job.spec.kind != wire.SERVICE:
             self.ending[key] = placement
         self.settled_tasks = None
 
--- a/flaxtally/protocol/shape.py
+++ b/flaxtally/protocol/shape.py
@@ -20,6 +20,8 @@
     spot: bool
     service: bool
     rank: int
+    gathered: bool = False
+    """All tasks of a job begin at the same time in one zone."""
 
     @property
     def best_effort(self) -> bool:
@@ -38,4 +40,5 @@
             spec.spot,
             spec.kind == wire.SERVICE,
             wire.RANKS[spec.rank],
+            spec.kind == wire.GANG and spec.one_zone,
         )
--- a/flaxtally/protocol/wire.py
+++ b/flaxtally/protocol/wire.py
@@ -22,7 +22,8 @@
 ARRAY, SERVICE, GANG = "array", "daemon", "group"
 RANKS = {"critical": 0, "high": 1, "standard": 2, "idle": 3}
 PENDING, RUNNING, DONE, ABORTED = "pending", "running", "done", "aborted"
-FETCHING, FLUSHING, EXITED = "fetching", "flushing", "exited"
+FETCHING, WAITING, FLUSHING, EXITED = "fetching", "waiting", "flushing", "exited"
+TASK_STATES = frozenset({FETCHING, WAITING, RUNNING, FLUSHING, EXITED})
 CAUSE_DONE, CAUSE_ERROR, CAUSE_FULL, CAUSE_IN_USE, CAUSE_UNKNOWN = (
     "done",
     "error",
@@ -30,6 +31,8 @@
     "in_use",
     "unknown",
 )
+CAUSE_PEERS, CAUSE_ALONE = "mates_gone", "incomplete"
+"""Of a gang's task: another one is gone, or the gang was not complete in time."""
 FAILED, BOOTING = "failed", "booting"
 
 
--- /dev/null
+++ b/flaxtally/standin/held_task.py
@@ -0,0 +1,15 @@
+"""A task on a stand-in worker."""
+
+from __future__ import annotations
+
+from ..runtime.loop import Timer
+
+
+class Held:
+    """A task on the worker."""
+
+    def __init__(self, task: str, attempt: int, state: str) -> None:
+        self.task, self.attempt, self.state = task, attempt, state
+        self.cause: str | None = None
+        self.kept = False
+        self.timer: Timer | None = None
--- a/flaxtally/standin/worker.py
+++ b/flaxtally/standin/worker.py
@@ -10,15 +10,8 @@
 from ..protocol import wire
 from ..runtime.http import Client, Reply, Request, Server
 from ..runtime.loop import Address, Runtime, Timer
-
-
-class Held:
-    """A task on the worker."""
-
-    def __init__(self, task: str, attempt: int, state: str) -> None:
-        self.task, self.attempt, self.state = task, attempt, state
-        self.cause: str | None = None
-        self.timer: Timer | None = None
+from .gang_meeting import GangMeetings
+from .held_task import Held
 
 
 class Worker:
@@ -42,7 +35,10 @@
         run_time: Callable[[str], float | None],
         watch: Callable[[str, str, str, int], None],
         rng: random.Random,
+        gangs: GangMeetings | None = None,
     ) -> None:
+        """`gangs`: where the tasks of gangs meet; None: they run like those of arrays."""
+        self._gangs = gangs
         self._runtime, self.machine, self._kind, self._address = runtime, machine, kind, address
         self._nodes, self._report_s, self._lease_s = nodes, report_s, lease_s
         self._spec, self._run_time, self._watch, self._rng = spec, run_time, watch, rng
@@ -83,7 +79,7 @@
             self._sequence,
             self.token,
             [
-                wire.TaskReport(held.task, held.attempt, held.state, held.cause)
+                wire.TaskReport(held.task, held.attempt, held.state, held.cause, held.kept)
                 for held in self.tasks.values()
             ],
             self.notice,
@@ -187,7 +183,10 @@
             if order.verb == wire.LAUNCH and held is None:
                 self._launch(order)
             elif order.verb == wire.STOP and held is not None and held.state != wire.EXITED:
-                self._exit(held, wire.CAUSE_HALTED)
+                if self._gangs is not None and held.state in (wire.WAITING, wire.RUNNING):
+                    self._gangs.stop(self, held, order.grace)
+                elif held.state != wire.FLUSHING or not order.grace:
+                    self.exit(held, wire.CAUSE_HALTED)
             elif order.verb == wire.FORGET and held is not None and held.state == wire.EXITED:
                 del self.tasks[order.task, order.attempt]
 
@@ -226,12 +225,16 @@
     def _run(self, held: Held) -> None:
         if held.state != wire.FETCHING:
             return
-        held.state = wire.RUNNING
-        self._watch("start", self.machine.machine, held.task, held.attempt)
         ref = held.task.partition("/")[0]
+        spec = self._spec(ref)
+        self._watch("start", self.machine.machine, held.task, held.attempt)
+        if self._gangs is not None and spec is not None and spec.kind == wire.GANG:
+            self._gangs.arrive(self, held, spec)
+            return
+        held.state = wire.RUNNING
         length = self._run_time(ref)
         if self.fails(ref):
-            held.timer = self._runtime.after(0.5, self._exit, held, wire.CAUSE_ERROR)
+            held.timer = self._runtime.after(0.5, self.exit, held, wire.CAUSE_ERROR)
         elif length is not None:
             held.timer = self._runtime.after(length * self.slowness, self._complete, held)
         self.changed()
@@ -241,9 +244,15 @@
             # What hangs gets nothing done.
             held.timer = self._runtime.after(0.5, self._complete, held)
         else:
-            self._exit(held, wire.CAUSE_DONE)
+            self.exit(held, wire.CAUSE_DONE)
+
+    def set_state(self, held: Held, state: str) -> None:
+        """A gang's task goes on in that state."""
+        held.state = state
+        self.changed()
 
-    def _exit(self, held: Held, cause: str) -> None:
+    def exit(self, held: Held, cause: str) -> None:
+        """The task ends, unless it has already."""
         if held.state == wire.EXITED:
             return
         self._end(held, cause)
@@ -253,6 +262,8 @@
     def _end(self, held: Held, why: str) -> None:
         if held.timer is not None:
             held.timer.cancel()
-        if held.state == wire.RUNNING:
+        if held.state in (wire.WAITING, wire.RUNNING, wire.FLUSHING):
             held.state = wire.EXITED
             self._watch("end " + why, self.machine.machine, held.task, held.attempt)
+            if self._gangs is not None:
+                self._gangs.left(held, why)
--- /dev/null
+++ b/tests/test_gangs.py
@@ -0,0 +1,178 @@
+"""Gangs on a small deployment: whole or not at all, through failures. Rules are checked by `World`
+at every start and end of a task."""
+
+from __future__ import annotations
+
+import pytest
+
+from flaxtally.protocol import wire
+
+from .scenarios import change_leader, leader_of
+from .world import World, gang, spec
+
+
+def begun(world: World, ref: str) -> list[int]:
+    """The attempts of the gang that began."""
+    return [attempt for started, attempt in world.gangs.begun if started == ref]
+
+
+def running_gang(seed: int = 1, tasks: int = 4, run_time: float = 30.0, **changes: object) -> World:
+    """A world in which the gang j-000001 runs."""
+    world = World(seed)
+    world.submit(gang("j-000001", tasks, **changes), run_time=run_time)
+    assert world.until(lambda: bool(begun(world, "j-000001")), 90), world.trace
+    world.run(1.0)
+    return world
+
+
+def ends_done(world: World, ref: str, most: float = 120.0) -> None:
+    assert world.until(lambda: ref in world.accepted, 30), world.trace[-30:]
+    assert world.until(lambda: world.ask(ref)[1]["stage"] == wire.DONE, most), world.trace[-30:]
+
+
+def machines_of(world: World, ref: str) -> set[str]:
+    return {machine for task, (machine, _) in world.running.items() if task.startswith(ref + "/")}
+
+
+def test_a_gang_starts_together_in_one_zone_and_is_done_once() -> None:
+    world = running_gang(run_time=5.0, tasks=12)
+    zones = {world.workers[name].machine.zone for name in machines_of(world, "j-000001")}
+    assert len(zones) == 1
+    ends_done(world, "j-000001")
+    assert begun(world, "j-000001") == [1]
+    assert world.ask("j-000001")[1] == {
+        "ref": "j-000001",
+        "stage": "done",
+        "done": 12,
+        "running": 0,
+    }
+
+
+def test_a_lost_machine_restarts_the_whole_gang_from_its_checkpoint() -> None:
+    # Found in the production version: a lost task came back alone with another attempt number, so
+    # the gang never met again.
+    world = running_gang(tasks=12, run_time=30.0, cores=8.0)
+    assert len(machines_of(world, "j-000001")) > 1
+    world.run(11.0)
+    lost = sorted(machines_of(world, "j-000001"))[0]
+    world.cloud.take(lost)
+    assert world.until(lambda: begun(world, "j-000001") == [1, 2], 90), world.trace[-40:]
+    assert world.gangs.safe["j-000001"] == pytest.approx(10.0)
+    ends_done(world, "j-000001")
+
+
+def test_a_hung_machine_ends_the_attempt_and_nothing_runs_twice() -> None:
+    world = running_gang(tasks=12, cores=8.0)
+    world.machine_trouble("hung", sorted(machines_of(world, "j-000001"))[:1], 25.0)
+    assert world.until(lambda: len(begun(world, "j-000001")) == 2, 120), world.trace[-40:]
+    ends_done(world, "j-000001")
+
+
+def test_a_machine_lost_before_the_start_is_replaced_under_the_same_attempt() -> None:
+    world = World()
+    # Large images: the tasks wait for the last of them for some seconds.
+    world.submit(spec("j-000009", tasks=2, cores=12.0))
+    world.run(25.0)
+    world.submit(gang("j-000001", 6, cores=8.0, image_gb=8.0, image="img-9"), run_time=5.0)
+    states = lambda: [  # noqa: E731  a condition that is used twice
+        held.state
+        for worker in world.workers.values()
+        for held in worker.tasks.values()
+        if held.task.startswith("j-000001/")
+    ]
+    assert world.until(lambda: wire.WAITING in states(), 90), world.trace
+    waiting = sorted(
+        name
+        for name, worker in world.workers.items()
+        if any(held.state == wire.WAITING for held in worker.tasks.values())
+    )
+    world.cloud.take(waiting[0])
+    ends_done(world, "j-000001")
+    assert len(begun(world, "j-000001")) == 1
+
+
+def test_a_cancelled_gang_is_gone_in_every_phase() -> None:
+    for wait in (0.0, 0.05, 0.3, 1.0, 5.0):
+        world = World()
+        world.submit(spec("j-000009", tasks=2))
+        world.run(20.0)
+        world.submit(gang("j-000001", 8), run_time=20.0)
+        world.run(wait)
+        world.cancel("j-000001", node=1)
+        assert world.until(lambda w=world: "j-000001" in w.told_cancelled, 30.0), world.trace  # type: ignore[misc]
+        world.run(5.0)
+        assert world.count("j-000001") == 0
+
+
+@pytest.mark.parametrize("after", [0.02, 0.05, 0.2, 0.6, 1.2, 3.0, 9.0])
+def test_the_leader_ends_at_any_moment_of_a_gang(after: float) -> None:
+    world = World(seed=int(after * 100))
+    world.submit(spec("j-000009", tasks=2))
+    world.run(25.0)
+    world.submit(gang("j-000001", 8), run_time=8.0)
+    world.run(after)
+    change_leader(world)
+    ends_done(world, "j-000001")
+
+
+def test_attempts_larger_than_a_transaction_are_whole_or_nothing() -> None:
+    # The lower limits: 200 placements take five pages of two kilobytes, a transaction has two.
+    for after in (0.05, 0.2, 0.4, 0.8, 1.5):
+        world = World(value_bytes=2048, txn_ops=4, capacity=30, seed=int(after * 10))
+        world.submit(spec("j-000009", tasks=2))
+        world.run(25.0)
+        world.submit(gang("j-000001", 200, cores=0.5, ram=1.0), run_time=8.0)
+        world.run(after)
+        change_leader(world)
+        ends_done(world, "j-000001", 200)
+        assert not world.state.over_limit
+
+
+def test_two_gangs_that_want_the_last_room_never_hold_half_each() -> None:
+    world = World(capacity=1)
+    for number in range(4):
+        world.submit(gang(f"j-{number:06d}", 6, cores=4.0), run_time=6.0, node=number)
+    for number in range(4):
+        ends_done(world, f"j-{number:06d}", 200)
+    assert all(attempt == 1 for _, attempt in world.gangs.begun)
+
+
+def test_critical_work_stops_a_gang_as_a_whole_and_its_progress_is_kept() -> None:
+    world = World(capacity=1)
+    world.submit(gang("j-000001", 8, cores=8.0, ram=1.0, one_zone=False), run_time=60.0)
+    assert world.until(lambda: bool(begun(world, "j-000001")), 90), world.trace
+    world.run(12.0)
+    world.submit(spec("j-000002", tasks=2, cores=14.0), node=1)
+    assert world.until(lambda: world.count("j-000002") == 2, 90), world.trace[-30:]
+    causes = [cause for _, attempt, cause in world.gangs.exits if attempt == 1]
+    assert causes == [wire.CAUSE_HALTED] * 8
+    assert world.gangs.safe["j-000001"] > 10.0
+
+
+def test_a_gang_that_no_zones_hold_is_refused() -> None:
+    world = World()
+    world.submit(spec("j-000009", tasks=2))
+    world.run(20.0)
+    for number, job in enumerate(
+        (
+            gang("j-000001", 2, one_zone=True, spread=True),
+            gang("j-000002", 2, one_zone=False, zone="a", spread=True),
+            gang("j-000003", 500),
+        )
+    ):
+        world.submit(job, node=number)
+        world.run(2.0)
+        assert job.ref not in world.accepted
+        assert world.trace[-1].endswith("refused (422)")
+    world.submit(gang("j-000004", 1, one_zone=True, spread=True), run_time=1.0)
+    ends_done(world, "j-000004")
+
+
+def test_every_controller_restarts_while_a_gang_runs() -> None:
+    world = running_gang(run_time=40.0)
+    for name in world.names:
+        world.crash(name, back_after=2.0)
+    world.run(6.0)
+    leader_of(world)
+    ends_done(world, "j-000001")
+    assert begun(world, "j-000001") == [1]
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,17 +13,20 @@
 from flaxtally.cells.membership import CellSetup
 from flaxtally.emulator.rules import Rules
 from flaxtally.ledger import book as records
+from flaxtally.ledger.batch import BATCH, BatchReader
 from flaxtally.node import Node
 from flaxtally.protocol import wire
 from flaxtally.runtime.http import Client, Reply
 from flaxtally.settings import Objective, Settings, StateLimits, Team
 from flaxtally.standin.cloud import Cloud, equal_pools
+from flaxtally.standin.gang_meeting import GangMeetings
 from flaxtally.standin.state import StateService
 from flaxtally.standin.worker import Worker
 
 from .sim import Sim
 
 STATE, CLOUD, USER = ("10.2.0.1", 2379), ("10.2.0.2", 8443), "10.3.0.1"
+GANGS = "10.3.0.2"
 NODES = ("hearth-0", "hearth-1", "hearth-2")
 ZONES = ("a", "b")
 TYPES = [
@@ -78,6 +81,21 @@
     )
 
 
+def gang(ref: str, tasks: int = 4, **changes: Any) -> wire.Spec:
+    """A gang that saves, in one zone by default."""
+    changes = {"one_zone": True, "checkpoint": 5.0, "save": 1.0, "cores": 2.0} | changes
+    return spec(
+        ref,
+        lane="gang",
+        kind=wire.GANG,
+        rank="standard",
+        tasks=tasks,
+        spread=changes.pop("spread", False),
+        estimate=10.0,
+        **changes,
+    )
+
+
 class World:
     """Controllers, state service, cloud, workers, users."""
 
@@ -130,6 +148,9 @@
             self.rng,
         )
         self.user = self.sim.host(USER)
+        self.gangs = GangMeetings(
+            self.sim.host(GANGS), GANG_WAIT_S, GANG_PEER_S, self.run_times.get
+        )
         self._clients: dict[str, Client] = {}
         for name in nodes:
             self.start(name)
@@ -222,6 +243,7 @@
             self.run_times.get,
             self._watch,
             self.rng,
+            self.gangs,
         )
         worker.copy = self._copied
         worker.fails = lambda ref: ref in self.broken or machine.machine in self.faulty
@@ -265,29 +287,37 @@
             self.rules.look_when_calm(self.sim.time, self.calm_since, up)
 
     def _is_committed(self, task: str, attempt: int, machine: str) -> bool:
-        """Whether the state service's pages hold the placement. Pages are read on change."""
+        """Whether the state service's pages hold the placement. Pages are read on change; what
+        stands in batches counts only if the batch is whole.
+        """
         held = False
+        in_batches: dict[str, list[tuple[int, list[Any]]]] = {}
         for key, (value, stamp, _) in sorted(self.state.rows.items()):
-            ledger, page, _ = key.rpartition("p/")
+            ledger, page, number = key.rpartition("p/")
             if not page or not (ledger == "" or ledger.startswith("cell/")):
                 continue
+            if any(record[0] == BATCH for record in value["r"]):
+                pieces = in_batches.setdefault(ledger, [])
+                pieces += [(int(number), record) for record in value["r"]]
+                continue
             if self._pages.get(key, (0, None))[0] != stamp:
-                self._refs.update(
-                    {
-                        (ledger, record[1]): record[3]
-                        for record in value["r"]
-                        if record[0] == records.JOB
-                    }
-                )
-                placed = {
-                    (f"{self._refs.get((ledger, r[1]))}/{r[2]}", r[3], r[4])
-                    for r in value["r"]
-                    if r[0] == records.PLACED
-                }
-                self._pages[key] = stamp, placed
+                self._pages[key] = stamp, self._placed_by(ledger, value["r"])
             held = held or (task, attempt, machine) in self._pages[key][1]
+        for ledger, pieces in in_batches.items():
+            reader = BatchReader()
+            certain = [r for page, piece in pieces for _, r in reader.read(page, piece)]
+            held = held or (task, attempt, machine) in self._placed_by(ledger, certain)
         return held
 
+    def _placed_by(self, ledger: str, found: list[list[Any]]) -> set[tuple[str, int, str]]:
+        """The placements that the records say."""
+        self._refs.update({(ledger, r[1]): r[3] for r in found if r[0] == records.JOB})
+        return {
+            (f"{self._refs.get((ledger, r[1]))}/{r[2]}", r[3], r[4])
+            for r in found
+            if r[0] == records.PLACED
+        }
+
     # Troubles, one way to say each. Each ends by itself.
 
     def after(self, seconds: float, fn: Callable[..., None], *args: Any) -> None:
