Tests: production beside today's version, formats, batches, gangs by themselves

The version in production is imported from history under another name and plays in the simulated world: rolls, leadership passed both ways, limits that fall. What it wrote is kept as a fixture.

--- a/flaxtally/standin/state.py
+++ b/flaxtally/standin/state.py
@@ -38,7 +38,11 @@
         self.refuse_changes = False
         self.requests = 0
         self.over_limit: list[str] = []
-        """Transactions beyond `txn_ops` or `value_bytes`, said in words; they are carried out."""
+        """Transactions beyond `txn_ops` or `value_bytes`, said in words.
+
+        They are carried out unless the limits are enforced.
+        """
+        self._enforced = False
         self.txn_ops, self.value_bytes = 32, 8 * 1024
         self.request_limit: TokenBucket | None = None
         """PROTOCOL: above it requests are answered 429; None: unlimited."""
@@ -51,6 +55,12 @@
         self.changes = 0
         Server(runtime, address, self._handle, 1000, 600.0, 1.0)
 
+    def enforce(self, value_bytes: int, txn_ops: int, write_rps: float | None = None) -> None:
+        """Answers 400 to what is larger from now on, and 429 to more changes than that a second."""
+        self.value_bytes, self.txn_ops, self._enforced = value_bytes, txn_ops, True
+        if write_rps is not None:
+            self.change_limit = TokenBucket(self._runtime, write_rps, write_rps)
+
     def _handle(self, request: Request) -> None:
         if self.slow:
             self._runtime.after(self.slow * self._rng.uniform(0.5, 1.5), self._serve, request)
@@ -119,12 +129,16 @@
 
     def _txn(self, request: Request) -> None:
         txn = msgspec.msgpack.decode(request.body, type=wire.Txn)
+        before = len(self.over_limit)
         if len(txn.apply) > self.txn_ops or len(txn.guards) > 4 * self.txn_ops:
             self.over_limit.append(f"{len(txn.apply)} changes, {len(txn.guards)} guards")
         for change in txn.apply:
             size = len(msgspec.json.encode(change.value))
             if size > self.value_bytes:
                 self.over_limit.append(f"{change.put}: {size} bytes")
+        if self._enforced and len(self.over_limit) > before:
+            request.reply(400, {"error": "too large"})
+            return
         if self.lost_share and self._rng.random() < self.lost_share:
             self._runtime.after(self._rng.uniform(*self.lost_delay), self._late, txn)
             return
--- /dev/null
+++ b/tests/production.py
@@ -0,0 +1,52 @@
+"""The version in production, imported beside this one, for days on which both serve.
+
+Its sources come from the repository's history, at the commit that `deploy/service.toml` names. A
+clone without that commit can't play these days: the tests that need it say so and are skipped, and
+what production wrote is still checked by the kept fixtures (`tests/test_formats.py`).
+"""
+
+from __future__ import annotations
+
+import importlib
+import io
+import subprocess
+import sys
+import tarfile
+import tempfile
+import tomllib
+from functools import cache
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+PACKAGE = "flaxtally_production"
+
+
+def commit() -> str:
+    """The commit that is in production."""
+    return str(tomllib.loads((ROOT / "deploy" / "service.toml").read_text())["production"])
+
+
+@cache
+def _extracted() -> bool:
+    found = subprocess.run(
+        ["git", "archive", commit(), "flaxtally"], cwd=ROOT, capture_output=True, check=False
+    )
+    if found.returncode:
+        return False
+    folder = Path(tempfile.mkdtemp(prefix="production-"))
+    with tarfile.open(fileobj=io.BytesIO(found.stdout)) as archive:
+        archive.extractall(folder, filter="data")
+    # Its imports are relative: under another name both packages live in one process.
+    (folder / "flaxtally").rename(folder / PACKAGE)
+    sys.path.append(str(folder))
+    return True
+
+
+def module(name: str) -> ModuleType:
+    """A module of the version in production; skips the test where the clone lacks its commit."""
+    if not _extracted():
+        pytest.skip(f"this clone has no commit {commit()}")
+    return importlib.import_module(f"{PACKAGE}.{name}")
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -60,7 +60,7 @@
             continue
         if known.told == wire.ABORTED:
             assert world.count(ref) == 0
-        elif job.kind == wire.ARRAY:
+        elif job.kind in (wire.ARRAY, wire.GANG):
             ends = known.told == wire.DONE or known.asked_to_cancel
             assert ends or len(known.done) + world.count(ref) == job.tasks, (
                 ref,
--- /dev/null
+++ b/tests/test_gang_life.py
@@ -0,0 +1,148 @@
+"""What is decided about gangs, by itself: over random situations, and on rooms."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+
+from flaxtally.gangs.life import (
+    Member,
+    Phase,
+    Situation,
+    Step,
+    Times,
+    next_step,
+    phase_of,
+)
+from flaxtally.gangs.room import GangSearch, choose_all, choose_missing
+from flaxtally.planning.fleet import Machine
+from flaxtally.planning.machine_index import MachineIndex
+from flaxtally.planning.placement import GpuNeeds
+from flaxtally.protocol import wire
+
+from .world import TYPES, ZONES, gang
+
+KINDS = {kind.name: kind for kind in TYPES}
+TIMES = Times(wait=20.0, peer=4.0)
+SAVE = 1.0
+
+members = st.lists(
+    st.builds(
+        Member,
+        attempt=st.sampled_from([1, 1, 1, 2]),
+        committed=st.sampled_from([True, True, True, False]),
+        state=st.sampled_from(["", wire.FETCHING, wire.WAITING, wire.RUNNING, wire.FLUSHING]),
+    ),
+    max_size=4,
+)
+situations = st.builds(
+    Situation,
+    tasks=st.just(4),
+    members=members.map(tuple),
+    is_done=st.sampled_from([False, False, True]),
+    is_cancelled=st.sampled_from([False, False, True]),
+    has_run=st.booleans(),
+    is_broken=st.sampled_from([False, False, True]),
+    stopping_for=st.sampled_from([None, None, 0.5, 30.0]),
+    launched_for=st.sampled_from([0.5, 15.0]),
+)
+
+
+@given(situations)
+@examples(derandomize=True, max_examples=800)
+def test_no_step_breaks_a_gang_in_any_situation(now: Situation) -> None:
+    step, phase = next_step(now, TIMES, SAVE), phase_of(now)
+    if now.is_done or now.is_cancelled:
+        assert step is Step.NOTHING
+        return
+    # A new attempt begins only when nothing of the last one is placed, and then it does.
+    assert (step is Step.PLACE) == (not now.members)
+    if step is Step.REPLACE:
+        # Some are missing, and the gang has surely not begun.
+        assert 0 < len(now.members) < now.tasks
+        assert not now.has_run
+        assert {member.state for member in now.members} <= {wire.FETCHING, wire.WAITING}
+        assert len({member.attempt for member in now.members}) == 1
+        assert now.stopping_for is None
+        assert now.launched_for < TIMES.wait
+    if step is Step.ABANDON:
+        # Never what is whole, of one attempt, not given up and not late with saving.
+        whole = len(now.members) == now.tasks
+        of_one = len({member.attempt for member in now.members}) == 1
+        late = now.stopping_for is not None and now.stopping_for > SAVE + 2 * TIMES.peer
+        assert not (whole and of_one and not now.is_broken and not late)
+    if phase is Phase.RESERVED:
+        # Its commit decides first.
+        assert step is Step.NOTHING
+
+
+@given(situations)
+@examples(derandomize=True, max_examples=400)
+def test_a_gang_that_lost_a_task_is_never_left_as_it_is(now: Situation) -> None:
+    step = next_step(now, TIMES, SAVE)
+    incomplete = 0 < len(now.members) < now.tasks
+    heard = all(member.committed and member.state for member in now.members)
+    saving = now.stopping_for is not None and now.stopping_for < SAVE + 2 * TIMES.peer
+    if incomplete and heard and not (saving or now.is_done or now.is_cancelled):
+        assert step in (Step.REPLACE, Step.ABANDON)
+
+
+# Rooms
+
+
+def fleet(rng: random.Random, count: int) -> list[Machine]:
+    found = []
+    for number in range(count):
+        kind = rng.choice(TYPES)
+        machine = Machine(f"n-{number:06d}", kind.name, rng.choice(ZONES), False, 0.0)
+        machine.cores = float(rng.randrange(int(kind.cores) + 1))
+        machine.booting = False
+        found.append(machine)
+    return found
+
+
+@given(
+    st.integers(0, 10**6),
+    st.integers(1, 12),
+    st.booleans(),
+    st.booleans(),
+    st.sampled_from([1.0, 2.0, 5.0]),
+)
+@examples(derandomize=True, max_examples=150)
+def test_room_for_all_or_none_and_nothing_stays_claimed(
+    seed: int, tasks: int, one_zone: bool, spread: bool, cores: float
+) -> None:
+    rng = random.Random(seed)
+    machines = fleet(rng, 8)
+    index = MachineIndex.of(machines, KINDS, rng)
+    before = {machine: (machine.cores, machine.ram) for machine in machines}
+    job = gang("j-000001", tasks, one_zone=one_zone, spread=spread, cores=cores)
+    search = GangSearch(job, 1, index, GpuNeeds(), 24, None)
+    choice = choose_all(search, set(ZONES), 60.0)
+    after = {machine: (machine.cores, machine.ram) for machine in machines}
+    assert after == before
+    if choice is None:
+        return
+    assert len(choice.machines) == tasks
+    zones = Counter(machine.zone for machine in choice.machines)
+    assert not one_zone or len(zones) == 1
+    assert not spread or max(zones.values()) <= (tasks + 1) // 2
+    for machine, count in Counter(choice.machines).items():
+        assert machine.cores + count * cores <= KINDS[machine.kind].cores + 1e-6
+
+
+def test_missing_tasks_go_to_the_zone_of_the_others() -> None:
+    rng = random.Random(1)
+    machines = fleet(rng, 12)
+    for machine in machines:
+        machine.cores = 0.0
+    index = MachineIndex.of(machines, KINDS, rng)
+    search = GangSearch(gang("j-000001", 4), 1, index, GpuNeeds(), 24, None)
+    for zone in ZONES:
+        choice = choose_missing(search, 2, set(ZONES), {zone: 2}, 60.0)
+        assert choice is not None
+        assert {machine.zone for machine in choice.machines} == {zone}
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Callable
 from typing import Any
@@ -197,6 +198,11 @@
             max_sockets=500,
         )
 
+    @staticmethod
+    def with_limits(settings: Settings, limits: StateLimits) -> Settings:
+        """The same with other limits of the state service."""
+        return dataclasses.replace(settings, state_limits=limits)
+
     def cells_of(self, settings: Settings) -> CellSetup | None:
         """Which cell the controller is of; None: the fleet is not divided."""
         return None
--- /dev/null
+++ b/tools/production_fixture.py
@@ -0,0 +1,56 @@
+"""Writes `tests/fixtures/production_ledger.json`: what the version in production leaves at the
+state service on a small day, and what its own code reads there. Run from the repository's root,
+with the history at hand: `python3 tools/production_fixture.py`.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from tests import production
+from tests.scenarios import change_leader, cut_controllers
+from tests.test_formats import FIXTURE, meaning
+from tests.upgrade_world import UpgradeWorld
+from tests.world import batch, spec
+
+
+def day() -> UpgradeWorld:
+    """Services, arrays, cancellations, three leaders, a cut between the controllers."""
+    world = UpgradeWorld(seed=7)
+    for number in range(10):
+        world.submit(spec(f"j-{number:06d}", tasks=3), node=number)
+        world.submit(batch(f"j-{100 + number:06d}", 12), run_time=9.0, node=number)
+    world.run(40.0)
+    for number in range(0, 10, 3):
+        world.cancel(f"j-{number:06d}", number)
+    change_leader(world)
+    world.submit(batch("j-000200", 40), run_time=40.0)
+    world.run(12.0)
+    heal = cut_controllers(world)
+    world.run(6.0)
+    heal()
+    change_leader(world)
+    world.run(8.0)
+    return world
+
+
+def main() -> None:
+    rows = {key: value for key, (value, _, _) in day().state.rows.items()}
+    book: Any = production.module("ledger.book").Book()
+    for key in sorted(rows):
+        if key.startswith("p/"):
+            for record in rows[key]["r"]:
+                book.replay(record, int(key[2:]))
+    FIXTURE.parent.mkdir(exist_ok=True)
+    found = {"commit": production.commit(), "rows": rows, "meaning": meaning(book)}
+    FIXTURE.write_text(json.dumps(found, indent=1, sort_keys=True) + "\n")
+    print(f"{FIXTURE}: {len(rows)} keys, {len(found['meaning'])} jobs")
+
+
+if __name__ == "__main__":
+    main()
