--- a/flaxtally/api/dispatch.py
+++ b/flaxtally/api/dispatch.py
@@ -13,6 +13,7 @@
 from ..clients.workers import Workers, decode_report
 from ..cluster.election import Election
 from ..cluster.formats import MemberFormats
+from ..cluster.mail import ORDERS_ANSWER
 from ..cluster.peers import Frame, Peers
 from ..lead.orders import OrderCarrier
 from ..policy import Policy
@@ -21,7 +22,7 @@
 from ..runtime.http import Request
 from ..runtime.loop import Runtime, Timer
 from ..settings import Settings
-from .forwarding import ReportForwarding, SameReport
+from .forwarding import ReportForwarding
 
 log = logging.getLogger(__name__)
 
@@ -95,8 +96,11 @@
         super().__init__(runtime)
         self._settings, self._policy = settings, policy
         self._election, self._peers, self._workers = election, peers, workers
-        self._forwarding = ReportForwarding(runtime, peers, members, settings.lease_s / 2)
+        self._forwarding = ReportForwarding(
+            runtime, election, peers, members, policy.mail, settings.lease_s / 2
+        )
         self._deliver: Callable[[str, wire.Report], None] = lambda *_: None
+        self._signs_of_life: Callable[[str, list[str]], None] = lambda *_: None
         self.home_of: Callable[[wire.Report], Home | None] = lambda _: None
         """Where a machine reports that is none of ours; None: it is ours."""
         self._started = runtime.now()
@@ -122,8 +126,13 @@
         )
         self.every(settings.lease_s, self._tidy)
 
-    def deliver_to(self, deliver: Callable[[str, wire.Report], None]) -> None:
-        self._deliver = deliver
+    def deliver_to(
+        self,
+        deliver: Callable[[str, wire.Report], None],
+        signs_of_life: Callable[[str, list[str]], None],
+    ) -> None:
+        """Where reports go while this node leads, and the names of machines that reported."""
+        self._deliver, self._signs_of_life = deliver, signs_of_life
 
     # Reports
 
@@ -170,7 +179,7 @@
         if election.leading:
             self._deliver(self._settings.node, report)
         elif election.leader is not None:
-            self._forwarding.forward(election.leader, election.term, report, request.body)
+            self._forwarding.forward(report, request.body)
 
     def _owner(self, name: str, zone: str) -> str | None:
         view = self._election.view
@@ -191,19 +200,13 @@
             self._note(report)
             self._deliver(sender, report)
 
-    def forwarded_same(self, sender: str, frame: Frame) -> None:
-        """A note of another part that a machine's report is like its last one."""
-        if not self._election.leading or frame.get("t") != self._election.term:
-            return
-        note = SameReport.of(frame)
-        if note is None:
-            log.warning("a note of %s about a report is none", sender)
-            return
-        _, last = self._heard.get(note.machine, (0.0, None))
-        report = note.whole(last)
-        if report is not None:
-            self._note(report)
-            self._deliver(sender, report)
+    def alive(self, sender: str, frame: Frame) -> None:
+        """The machines that reported to another part lately: a sign of life, and no more."""
+        names = frame.get("m")
+        if not isinstance(names, list):
+            log.warning("a list of machines of %s is none", sender)
+        elif self._election.leading and frame.get("t") == self._election.term:
+            self._signs_of_life(sender, [name for name in names if isinstance(name, str)])
 
     def _note(self, report: wire.Report) -> None:
         """Keeps a machine's newest report for a term that begins here.
@@ -242,7 +245,7 @@
         number = next(self._ids)
         timer = self.later(self._policy.order_call * 1.25, self._carry_timed_out, number)
         self._carried[number] = (server, done, timer)
-        self._peers.send(server, {"k": "ord", "i": number, "a": address, "o": body})
+        self._peers.send(server, {"k": "ord", "i": number, "m": machine, "a": address, "o": body})
 
     def others(self, zone: str) -> list[str]:
         here = self._settings.node
@@ -272,8 +275,11 @@
         if body is not None and not self._is_due(sender, body, number):
             return
 
+        machine = frame.get("m")
+
         def told(status: int, answer: bytes) -> None:
-            self._peers.send(sender, {"k": "done", "i": number, "s": status, "b": answer})
+            done = {"k": ORDERS_ANSWER, "i": number, "s": status, "b": answer}
+            self._peers.send(sender, done | ({"m": machine} if status else {}))
 
         self._send(address, body, told)
 
--- a/flaxtally/cluster/mail.py
+++ b/flaxtally/cluster/mail.py
@@ -29,8 +29,8 @@
 MAIL = "mail/"
 HEARTBEAT, REPORT = "hb", "rep"
 """Kinds of frames of which the last is enough."""
-SAME_REPORT = "same"
-"""A report like the machine's last one: it never takes the place of a whole one that waits."""
+ALIVE, ORDERS_ANSWER = "alive", "done"
+"""Which machines reported lately; a machine's answer to orders, with its report after them."""
 MOST_INFLATED = 1 << 20
 FRESH_PERIODS = 5
 """For so many periods a peer whose batch was read counts as heard."""
@@ -86,6 +86,8 @@
 
     def __init__(self) -> None:
         self.heartbeat: Frame | None = None
+        self.alive: Frame | None = None
+        """The last list of machines that reported."""
         self.frames: deque[_Waiting] = deque()
         """All but heartbeats and reports, the oldest first."""
         self.reports: dict[Any, Frame] = {}
@@ -99,11 +101,14 @@
     @property
     def holds_any(self) -> bool:
         """Whether anything waits."""
-        return bool(self.heartbeat or self.frames or self.reports)
+        return bool(self.heartbeat or self.alive or self.frames or self.reports)
 
     def in_order(self) -> list[Frame]:
-        """What waits: leadership first, then questions, orders and answers, then reports."""
-        first = [] if self.heartbeat is None else [self.heartbeat]
+        """What waits.
+
+        Leadership first, then who is alive, then questions, orders and answers, then reports.
+        """
+        first = [frame for frame in (self.heartbeat, self.alive) if frame is not None]
         return [*first, *(waiting.frame for waiting in self.frames), *self.reports.values()]
 
     def sent(self, count: int) -> None:
@@ -111,6 +116,9 @@
         if count and self.heartbeat is not None:
             self.heartbeat = None
             count -= 1
+        if count and self.alive is not None:
+            self.alive = None
+            count -= 1
         while count and self.frames:
             self.frames.popleft()
             count -= 1
@@ -124,7 +132,7 @@
 
     def clear(self) -> None:
         """Drops all: the link carries frames again."""
-        self.heartbeat = None
+        self.heartbeat = self.alive = None
         self.frames.clear()
         self.reports.clear()
 
@@ -171,11 +179,12 @@
         elif frame["k"] == REPORT:
             # In the place of its last one: with thousands of machines, each gets its turn.
             box.reports[frame.get("m")] = frame
-        elif frame["k"] == SAME_REPORT:
-            waiting = box.reports.get(frame.get("m"))
-            if waiting is None or waiting["k"] == SAME_REPORT:
-                box.reports[frame.get("m")] = frame
+        elif frame["k"] == ALIVE:
+            box.alive = frame
         else:
+            if frame["k"] == ORDERS_ANSWER:
+                # It holds a newer report of the machine.
+                box.reports.pop(frame.get("m"), None)
             box.frames.append(_Waiting(frame, self.runtime.now()))
 
     def _turn(self) -> None:
--- a/flaxtally/lead/leader.py
+++ b/flaxtally/lead/leader.py
@@ -194,6 +194,10 @@
         """A worker's report, taken by the part `server`."""
         self.tracker.on_report(server, report)
 
+    def on_signs_of_life(self, server: str, machines: list[str]) -> None:
+        """Machines that reported to the part `server` lately."""
+        self.tracker.on_signs_of_life(server, machines)
+
     # What comes again and again
 
     def _may_act(self) -> bool:
--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -104,6 +104,22 @@
         if report.tasks != machine.settled_tasks:
             self._compare_all(machine, report.tasks)
 
+    def on_signs_of_life(self, server: str, names: list[str]) -> None:
+        """These machines reported to the part `server`: they are not silent. It proves no more."""
+        if not self.term.active:
+            return
+        now = self.runtime.now()
+        for name in names:
+            machine = self.fleet.machines.get(name)
+            if machine is None or machine.booting or machine.releasing:
+                continue
+            if now - machine.heard_at >= self.policy.machine_suspect:
+                machine.note_change()
+            machine.heard_at = max(machine.heard_at, now)
+            machine.failed_probes = 0
+            if machine.server is None:
+                machine.server = server
+
     def _compare_all(self, machine: Machine, tasks: list[wire.TaskReport]) -> None:
         """What a believed report says of all placements there, and of what isn't placed there."""
         listed = {(task.task, task.attempt): task for task in tasks}
--- a/flaxtally/node.py
+++ b/flaxtally/node.py
@@ -13,7 +13,7 @@
 from .clients.workers import CALLED_SHARE, Workers
 from .cluster.election import Election
 from .cluster.formats import MemberFormats
-from .cluster.mail import HEARTBEAT, REPORT, SAME_REPORT, Mail
+from .cluster.mail import ALIVE, HEARTBEAT, ORDERS_ANSWER, REPORT, Mail
 from .cluster.peers import Frame, Peers
 from .lead.leader import Leader
 from .lead.limits import SettingsLimits, TeamLimits
@@ -116,7 +116,7 @@
             limits,
             self.formats,
         )
-        self.dispatch.deliver_to(self.leader.on_report)
+        self.dispatch.deliver_to(self.leader.on_report, self.leader.on_signs_of_life)
         self.intake = Intake(
             runtime,
             policy,
@@ -134,9 +134,9 @@
         self._frames = {
             HEARTBEAT: self.election.heartbeat,
             REPORT: self.dispatch.forwarded,
-            SAME_REPORT: self.dispatch.forwarded_same,
+            ALIVE: self.dispatch.alive,
             "ord": self.dispatch.order,
-            "done": self.dispatch.carried,
+            ORDERS_ANSWER: self.dispatch.carried,
             "ask": self.intake.asked,
             "ans": self.intake.answered,
         }
