Tests: two troubles at once that meet a gang; a gang's attempt in its state

Spot notices, saves and losses, cancellations in between, orders that don't arrive, restarts of all controllers, random troubles. Polls of a gang name its attempt and how many of its tasks wait.

--- a/flaxtally/lead/gangs.py
+++ b/flaxtally/lead/gangs.py
@@ -29,6 +29,7 @@
     __slots__ = (
         "has_run",
         "is_broken",
+        "is_done",
         "launched_at",
         "lost_on",
         "number",
@@ -39,7 +40,7 @@
     def __init__(self, number: int, now: float) -> None:
         self.number = number
         self.launched_at = now
-        self.has_run = self.is_broken = False
+        self.has_run = self.is_broken = self.is_done = False
         self.stopped_at: float | None = None
         self.stop_leeway = 0.0
         self.lost_on: set[str] = set()
@@ -169,14 +170,15 @@
         job = placed.job
         if placed.attempt == job.newest_attempt:
             self._attempt_of(job).lost_on.add(placed.machine)
-        if done:
+        if done and not self._attempt_of(job).is_done:
+            self._attempt_of(job).is_done = True
             log.info(
                 "event=gang_done term=%d job=%s attempt=%d",
                 self.term.number,
                 job.spec.ref,
                 placed.attempt,
             )
-        elif cause in (wire.CAUSE_PEERS, wire.CAUSE_ALONE):
+        elif not done and cause in (wire.CAUSE_PEERS, wire.CAUSE_ALONE):
             # What is left of the attempt exits too: waiting for it would only take time.
             self._attempt_of(job).is_broken = True
         self._no_room.pop(job.no, None)
--- a/flaxtally/lead/jobs.py
+++ b/flaxtally/lead/jobs.py
@@ -150,7 +150,11 @@
         done = len(job.done_tasks)
         if stage in (wire.PENDING, wire.RUNNING):
             done = min(done, job.spec.tasks - 1) if job.spec.kind != wire.SERVICE else done
-        return wire.job_status(job.spec.ref, stage, done, running)
+        status = wire.job_status(job.spec.ref, stage, done, running)
+        if job.spec.kind == wire.GANG and not job.told:
+            status["try"] = job.newest_attempt
+            status["waiting"] = sum(placed.state == wire.WAITING for placed in job.placed.values())
+        return status
 
     def _confirmed(self, answer: Answer, then: Callable[[], None]) -> None:
         def told(leading: bool) -> None:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -7,7 +7,7 @@
 
 from flaxtally.protocol import wire
 
-from .scenarios import change_leader, leader_of
+from .scenarios import change_leader, ends_well, leader_of
 from .world import World, gang, spec
 
 
@@ -176,3 +176,148 @@
     leader_of(world)
     ends_done(world, "j-000001")
     assert begun(world, "j-000001") == [1]
+
+
+# Two troubles at once
+
+
+def exits(world: World, ref: str, attempt: int) -> list[str]:
+    return [
+        cause
+        for task, number, cause in world.gangs.exits
+        if task.startswith(ref + "/") and number == attempt
+    ]
+
+
+def test_a_spot_notice_for_two_machines_at_once_saves_the_gang_once() -> None:
+    world = running_gang(tasks=12, cores=8.0, spot=True)
+    world.run(8.0)
+    for name in sorted(machines_of(world, "j-000001"))[:2]:
+        world.workers[name].notice = 12.0
+        world.workers[name].changed()
+        world.after(12.0, world.cloud.take, name)
+    ends_done(world, "j-000001")
+    assert exits(world, "j-000001", 1) == [wire.CAUSE_HALTED] * 12
+    assert begun(world, "j-000001") == [1, 2]
+    assert world.gangs.safe["j-000001"] > 8.0
+
+
+def test_one_task_is_done_as_the_machine_of_another_dies() -> None:
+    world = running_gang(tasks=12, cores=8.0, run_time=6.0)
+    assert world.until(lambda: wire.CAUSE_DONE in exits(world, "j-000001", 1), 20.0)
+    # All complete together; what the others' machines would have reported is lost with them.
+    for name in sorted(world.workers)[1:]:
+        if any(held.state == wire.EXITED for held in world.workers[name].tasks.values()):
+            world.cloud.take(name)
+    ends_done(world, "j-000001")
+    world.run(30.0)
+    assert begun(world, "j-000001") == [1]
+    assert world.ask("j-000001")[1]["stage"] == wire.DONE
+
+
+def test_a_machine_lost_while_the_gang_saves_sends_it_back_to_its_checkpoint() -> None:
+    world = running_gang(tasks=12, cores=8.0, spot=True, save=3.0)
+    world.run(13.0)
+    machines = sorted(machines_of(world, "j-000001"))
+    world.workers[machines[0]].notice = 15.0
+    world.workers[machines[0]].changed()
+
+    def saving() -> bool:
+        return any(
+            held.state == wire.FLUSHING
+            for worker in world.workers.values()
+            for held in worker.tasks.values()
+        )
+
+    assert world.until(saving, 10.0)
+    world.run(0.5)
+    world.cloud.take(machines[1])
+    ends_done(world, "j-000001")
+    assert begun(world, "j-000001") == [1, 2]
+    # Checkpoints are at multiples of 5 s.
+    assert world.gangs.safe["j-000001"] == pytest.approx(10.0)
+
+
+@pytest.mark.parametrize("after", [0.2, 1.5, 3.2, 4.5])
+def test_a_gang_is_cancelled_while_it_saves_or_restarts(after: float) -> None:
+    world = running_gang(tasks=12, cores=8.0, spot=True, save=2.0)
+    name = sorted(machines_of(world, "j-000001"))[0]
+    world.workers[name].notice = 15.0
+    world.workers[name].changed()
+    world.run(1.0 + after)
+    world.cancel("j-000001")
+    assert world.until(lambda: "j-000001" in world.told_cancelled, 30.0), world.trace[-30:]
+    world.run(10.0)
+    assert world.count("j-000001") == 0
+
+
+@pytest.mark.parametrize("for_s", [3.0, 30.0])
+def test_the_launch_of_one_task_does_not_reach_its_machine(for_s: float) -> None:
+    # Shorter than the others wait, and longer: then they exit as incomplete, and all begins anew.
+    world = World()
+    world.submit(spec("j-000009", tasks=2, cores=14.0))
+    world.run(25.0)
+    deaf = sorted(world.workers)[0]
+    world.machine_trouble("deaf", [deaf], for_s)
+    world.submit(gang("j-000001", 12, cores=2.0, one_zone=False), run_time=4.0)
+    ends_done(world, "j-000001", 150.0)
+    assert len(begun(world, "j-000001")) == 1
+
+
+def test_every_controller_restarts_while_a_gang_waits_for_its_last_image() -> None:
+    world = World()
+    world.submit(spec("j-000009", tasks=2, cores=12.0))
+    world.run(25.0)
+    world.submit(gang("j-000001", 6, cores=8.0, image_gb=8.0, image="img-9"), run_time=5.0)
+    assert world.until(lambda: any(task.startswith("j-000001/") for task in world.running), 60.0)
+    for name in world.names:
+        world.crash(name, back_after=1.0)
+    ends_done(world, "j-000001")
+
+
+def test_a_gang_cut_off_in_its_zone_starts_nowhere_else_before_it_is_proven_over() -> None:
+    # `World` checks that no task starts while another of its job is in another zone.
+    world = running_gang(tasks=8, run_time=60.0)
+    gone = sorted(machines_of(world, "j-000001"))
+    world.machine_trouble("cut", gone, 45.0)
+    world.run(60.0)
+    ends_done(world, "j-000001", 200.0)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_gangs_through_random_troubles(seed: int) -> None:
+    world = World(seed, capacity=6)
+    rng = world.rng
+    world.submit(spec("j-000009", tasks=4))
+    world.run(20.0)
+    for number in range(10):
+        job = gang(
+            f"j-{100 + number:06d}",
+            rng.choice([1, 3, 6, 10]),
+            cores=rng.choice([1.0, 4.0, 8.0]),
+            rank=rng.choice(["high", "standard"]),
+            one_zone=rng.random() < 0.7,
+            spread=False,
+            spot=rng.random() < 0.5,
+        )
+        world.after(rng.uniform(0, 30.0), world.submit, job, rng.uniform(3.0, 25.0), number)
+        if rng.random() < 0.2:
+            world.after(rng.uniform(5.0, 50.0), world.cancel, job.ref, number)
+    for _ in range(8):
+        world.run(rng.uniform(2.0, 7.0))
+        machines = sorted(world.workers)
+        trouble = rng.choice(["crash", "hung", "deaf", "mute", "cut", "take", "refuse", "lose"])
+        if trouble == "crash":
+            world.crash(leader_of(world), back_after=rng.uniform(0.2, 5.0))
+        elif trouble == "take":
+            world.cloud.take(rng.choice(machines))
+        elif trouble == "refuse":
+            world.refuse(leader_of(world), rng.uniform(2.0, 8.0))
+        elif trouble == "lose":
+            world.lose_writes(0.5, 5.0, at_once=rng.random() < 0.5)
+        elif machines:
+            world.machine_trouble(trouble, rng.sample(machines, 1), rng.uniform(2.0, 20.0))
+    ends_well(world, 150.0)
+    for number in range(10):
+        known = world.rules.jobs[f"j-{100 + number:06d}"]
+        assert known.asked_to_cancel or known.told == wire.DONE, (number, world.trace[-40:])
