A gang preempts as a whole; room is held for one that waits for long; the plan rents for all of it

Change: gangs count whole in the plan; nothing is emptied while one waits. A gang above batch rank stops lower work only where it then starts whole; for an overdue one machines are held for keep_patience, one gang a rank at a time.

--- /dev/null
+++ b/flaxtally/gangs/making_room.py
@@ -0,0 +1,94 @@
+"""On which machines a gang would have room for all tasks once others have left. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from ..ledger.book import Placement
+from ..planning import placement
+from ..planning.fleet import Machine
+from ..planning.packing import Bin, slots
+from ..planning.placement import GpuNeeds, Room
+from ..protocol import wire
+
+
+@dataclass(frozen=True)
+class Leaving:
+    """A task that may leave its machine, and what is lost by that, in seconds of work."""
+
+    placed: Placement
+    loss: float
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A machine that the gang may use, what is free there, and who may leave."""
+
+    machine: Machine
+    kind: wire.MachineType
+    free: Room
+    leaving: Sequence[Leaving]
+
+
+@dataclass(frozen=True)
+class Share:
+    """How many tasks of the gang a machine takes, once those have left."""
+
+    machine: Machine
+    tasks: int
+    leaving: tuple[Placement, ...]
+    loss: float
+
+
+def shares(
+    spec: wire.Spec, count: int, candidates: Iterable[Candidate], needs: GpuNeeds
+) -> list[Share] | None:
+    """Machines that together hold `count` tasks, where little is lost first; None: they don't."""
+    found = [
+        share
+        for candidate in candidates
+        if (share := _share(spec, count, candidate, needs)) is not None
+    ]
+    found.sort(key=lambda share: (share.loss / share.tasks, -share.tasks))
+    chosen: list[Share] = []
+    for share in found:
+        if count <= 0:
+            break
+        chosen.append(share)
+        count -= share.tasks
+    return chosen if count <= 0 else None
+
+
+def _share(spec: wire.Spec, count: int, candidate: Candidate, needs: GpuNeeds) -> Share | None:
+    machine, kind, free = candidate.machine, candidate.kind, candidate.free
+    gone: list[Placement] = []
+    loss = best_loss = 0.0
+    tasks, needed = _tasks(spec, machine, kind, free, needs), 0
+    for leaving in sorted(candidate.leaving, key=lambda leaving: leaving.loss):
+        if tasks >= count:
+            break
+        free = free.plus(leaving.placed.job.spec)
+        gone.append(leaving.placed)
+        loss += leaving.loss
+        more = _tasks(spec, machine, kind, free, needs)
+        if more > tasks:
+            tasks, needed, best_loss = more, len(gone), loss
+    if not tasks:
+        return None
+    return Share(machine, min(tasks, count), tuple(gone[:needed]), best_loss)
+
+
+def _tasks(
+    spec: wire.Spec, machine: Machine, kind: wire.MachineType, free: Room, needs: GpuNeeds
+) -> int:
+    room = Bin(kind, machine.zone, machine.spot, free.cores, free.gpus, free.ram)
+    return slots(spec, room, needs)
+
+
+def room_of(machine: Machine, kind: wire.MachineType, claimed: Iterable[wire.Spec]) -> Room:
+    """What is free on the machine beside claims of others."""
+    left = placement.room(machine, kind)
+    for spec in claimed:
+        left = left.minus(spec)
+    return left
--- a/flaxtally/lead/consolidation.py
+++ b/flaxtally/lead/consolidation.py
@@ -54,7 +54,7 @@
             and now - self.term.began > self.policy.settle
             and self._in_touch(now)
             and not any(
-                wire.RANKS[job.spec.rank] < wire.RANKS["standard"]
+                wire.RANKS[job.spec.rank] < wire.RANKS["standard"] or job.spec.kind == wire.GANG
                 for job in self.jobs.queue.waiting()
             )
         )
@@ -139,12 +139,15 @@
         waiting = not self._in_touch(now) or any(
             job.spec.kind == wire.SERVICE for job in self.jobs.queue.waiting()
         )
+        gang_waits = any(job.spec.kind == wire.GANG for job in self.jobs.queue.waiting())
         for name, since in list(self._moving.items()):
             machine = self.fleet.machines.get(name)
             if machine is None or machine.releasing or not machine.placements:
                 del self._moving[name]
                 continue
-            if now - since > self.policy.move_patience and machine.notice_until is None:
+            # A gang that waits may need the very room of a machine that is being emptied.
+            late = gang_waits or now - since > self.policy.move_patience
+            if late and machine.notice_until is None:
                 log.info("event=empty_given_up term=%d machine=%s", self.term.number, machine.name)
                 del self._moving[name]
                 machine.draining = False
--- a/flaxtally/lead/demand_forecast.py
+++ b/flaxtally/lead/demand_forecast.py
@@ -60,8 +60,9 @@
         """The demand in `at` seconds."""
         count, lane = demand.count, demand.shape.lane
         caps = dict(demand.caps) if demand.caps is not None else None
-        if not demand.shape.service:
+        if not (demand.shape.service or demand.shape.gang):
             # By then the machines that run such tasks now will have worked off a part of the queue.
+            # (A gang needs the room of all its tasks at once.)
             count = max(0.0, count - self._running[lane] * at / max(demand.until, 1.0))
         if demand.typical:
             more = self._expected(demand, at, now)
--- /dev/null
+++ b/flaxtally/lead/gang_holds.py
@@ -0,0 +1,136 @@
+"""Room that is held for a gang that has waited for long, so that small work doesn't overtake it."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..gangs.making_room import Candidate, Leaving, room_of, shares
+from ..ledger.book import Job
+from ..planning import placement
+from ..planning.fleet import Machine
+from ..planning.machine_index import MachineIndex
+from ..protocol import wire
+from .jobs import Jobs
+from .term import Term, TermActor
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class _Hold:
+    """Machines on which nothing of the gang's rank or lower is placed, until a time."""
+
+    no: int
+    rank: int
+    until: float
+    machines: frozenset[str]
+
+
+class GangHolds(TermActor):
+    """Owns the machines held for gangs: for one gang of each rank at a time, and not for long.
+
+    What runs there ends by itself; those whose tasks end first are held. A gang for which they were
+    held in vain lets another go first.
+    """
+
+    def __init__(self, term: Term, jobs: Jobs) -> None:
+        super().__init__(term)
+        self.jobs = jobs
+        self._holds: dict[int, _Hold] = {}
+        """By rank."""
+        self._rests: dict[int, float] = {}
+        """Gangs that were held for in vain, and until when nothing is held for them."""
+        self._ended: set[str] = set()
+        """Machines that were held, since `ended` was asked."""
+
+    def hold(self, job: Job, index: MachineIndex) -> None:
+        """Holds machines for the gang, if nothing is held at its rank."""
+        rank, now = wire.RANKS[job.spec.rank], self.runtime.now()
+        self._expire(now)
+        if rank in self._holds or self._rests.get(job.no, 0.0) > now or job.spec.spread:
+            return
+        machines = self._choose(job, index, now)
+        if machines is None:
+            return
+        until = now + self.policy.keep_patience
+        self._holds[rank] = _Hold(job.no, rank, until, machines)
+        self._rests[job.no] = until + self.policy.keep_patience
+        log.info(
+            "event=gang_hold term=%d job=%s machines=%d",
+            self.term.number,
+            job.spec.ref,
+            len(machines),
+        )
+
+    def placed(self, job: Job) -> None:
+        """The gang is placed: nothing is held for it any more."""
+        self._rests.pop(job.no, None)
+        hold = self._holds.get(wire.RANKS[job.spec.rank])
+        if hold is not None and hold.no == job.no:
+            self._end(hold)
+
+    def free_for(self, job: Job) -> Callable[[Machine], bool] | None:
+        """Whether a machine is not held against the job; None: none is."""
+        self._expire(self.runtime.now())
+        rank = wire.RANKS[job.spec.rank]
+        held = [
+            hold.machines
+            for hold in self._holds.values()
+            if hold.rank <= rank and hold.no != job.no
+        ]
+        if not held:
+            return None
+        names = frozenset(itertools.chain.from_iterable(held))
+        return lambda machine: machine.name not in names
+
+    def ended(self) -> set[str]:
+        """The machines that are held no more since this was last asked."""
+        self._expire(self.runtime.now())
+        ended, self._ended = self._ended, set()
+        return ended
+
+    def _expire(self, now: float) -> None:
+        for hold in list(self._holds.values()):
+            job = self.jobs.live.get(hold.no)
+            if now >= hold.until or job is None or job.final or job.placed:
+                self._end(hold)
+        self._rests = {no: until for no, until in self._rests.items() if until > now}
+
+    def _end(self, hold: _Hold) -> None:
+        del self._holds[hold.rank]
+        self._ended |= hold.machines
+
+    def _choose(self, job: Job, index: MachineIndex, now: float) -> frozenset[str] | None:
+        spec = job.spec
+        zones = [{zone} for zone in sorted(self.fleet.zones)] if spec.one_zone else [set[str]()]
+        best: tuple[float, frozenset[str]] | None = None
+        for zone in zones:
+            shut = self.fleet.zones - zone if zone else set[str]()
+            walked = itertools.islice(
+                index.walk(spec, shut), placement.WIDEN**2 * self.policy.sample
+            )
+            candidates = [
+                Candidate(machine, kind, room_of(machine, kind, ()), self._ending(machine, now))
+                for machine, kind in walked
+            ]
+            found = shares(spec, spec.tasks, candidates, placement.GpuNeeds())
+            if found is None:
+                continue
+            waits = max(share.loss for share in found)
+            if best is None or waits < best[0]:
+                best = waits, frozenset(share.machine.name for share in found)
+        return best[1] if best else None
+
+    @staticmethod
+    def _ending(machine: Machine, now: float) -> list[Leaving]:
+        """The tasks that end by themselves, each with the seconds until it is estimated to."""
+        return [
+            Leaving(
+                placed,
+                max(0.0, placed.job.spec.estimate - (now - (placed.ran_at or now))),
+            )
+            for placed in machine.ending.values()
+        ]
--- a/flaxtally/lead/gang_zones.py
+++ b/flaxtally/lead/gang_zones.py
@@ -32,7 +32,7 @@
         """Aims each demand of gangs that must be in one zone at a zone."""
         for demand in demands:
             shape = demand.shape
-            if not shape.gathered or shape.zone is not None:
+            if not shape.one_zone or shape.zone is not None:
                 continue
             need = max(math.ceil(demand.count), self.jobs.arrivals.largest(shape.lane, now))
             zone = self._best_zone(shape, need)
--- a/flaxtally/lead/preemption.py
+++ b/flaxtally/lead/preemption.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 from collections.abc import Callable, Collection, Hashable
 
+from ..gangs.making_room import Candidate, Leaving, Share, shares
 from ..ledger.book import Job, Placement
 from ..planning import placement
 from ..planning.fleet import Machine
@@ -86,6 +88,72 @@
         )
         return True
 
+    def make_gang_room(self, job: Job, index: MachineIndex) -> bool:
+        """Makes room for a whole gang, or stops nobody; whether room is being made.
+
+        Only for ranks above the one that batch work has: a gang waits for all its tasks' room, and
+        what is stopped for it meanwhile does nothing.
+        """
+        now, rank = self.runtime.now(), wire.RANKS[job.spec.rank]
+        first = job.no, 0
+        if self._preempted.get(first, 0.0) > now:
+            return True
+        kin = "gang", job.shape, job.spec.tasks
+        if rank >= wire.RANKS["standard"] or job.spec.spread or self.found_nobody(kin, job.spec):
+            return False
+        best = self._least_gang_loss(job, index, now)
+        if best is None:
+            self._nobody.add(kin, job.spec)
+            return False
+        tasks = iter(range(job.spec.tasks))
+        self._preempted = {key: until for key, until in self._preempted.items() if until > now}
+        for share in best:
+            for task in itertools.islice(tasks, share.tasks):
+                key = job.no, task
+                victims = list(share.leaving)
+                self._preempted[key] = self._evict(key, job.spec, share.machine, victims, False)
+        log.info(
+            "event=gang_preempts term=%d job=%s machines=%d",
+            self.term.number,
+            job.spec.ref,
+            len(best),
+        )
+        return True
+
+    def gang_placed(self, job: Job) -> None:
+        """The gang is placed: its claims are made good."""
+        for task in range(job.spec.tasks):
+            if self._preempted.pop((job.no, task), None) is not None:
+                self._claims.made_good((job.no, task))
+
+    def _least_gang_loss(self, job: Job, index: MachineIndex, now: float) -> list[Share] | None:
+        spec = job.spec
+        entitled = job.no not in self.jobs.queue.beyond
+        zones = [{zone} for zone in sorted(self.fleet.zones)] if spec.one_zone else [set[str]()]
+        best: list[Share] | None = None
+        for zone in zones:
+            shut = self.fleet.zones - zone if zone else set[str]()
+            walked = itertools.islice(
+                index.walk(spec, shut), placement.WIDEN**2 * self.policy.sample
+            )
+            candidates = [
+                Candidate(
+                    machine,
+                    kind,
+                    self._unclaimed_room(machine, kind),
+                    [
+                        Leaving(placed, self._loss(placed, now))
+                        for placed in machine.placements.values()
+                        if placed.seen and self._gives_way(placed, spec, entitled, now)
+                    ],
+                )
+                for machine, kind in walked
+            ]
+            found = shares(spec, spec.tasks, candidates, self.jobs.needs)
+            if found is not None and (best is None or _loss_of(found) < _loss_of(best)):
+                best = found
+        return best
+
     def make_room_to_move(self, placed: Placement, machine: Machine) -> None:
         """Stops best-effort tasks on the machine so that a replica can move there."""
         key = placed.job.no, placed.task
@@ -131,7 +199,8 @@
     ) -> float:
         """Stops the tasks and keeps their room for another; returns until when."""
         now = self.runtime.now()
-        until = now + 2 * self.policy.order_call + max(placed.job.spec.save for placed in victims)
+        saves = max((placed.job.spec.save for placed in victims), default=0.0)
+        until = now + 2 * self.policy.order_call + saves
         rank = wire.RANKS[spec.rank]
         self._claims.add(machine.name, key, Claim(rank, until, spec, moving))
         for placed in victims:
@@ -199,3 +268,7 @@
         if placed.job.spec.kind == wire.GANG:
             return self.gangs.loss(placed.job)
         return placed.job.spec.save if placed.job.spec.checkpoint else now - placed.ran_at
+
+
+def _loss_of(found: list[Share]) -> float:
+    return sum(share.loss for share in found)
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -11,6 +11,7 @@
 from ..planning.fleet import Machine
 from ..planning.machine_index import Fit, MachineIndex
 from ..protocol import wire
+from .gang_holds import GangHolds
 from .gangs import Gangs
 from .jobs import MOST_BACKLOG, Jobs
 from .orders import Orders
@@ -36,6 +37,7 @@
         super().__init__(term)
         self.jobs, self.tracker, self.orders, self.gangs = jobs, tracker, orders, gangs
         self.preemption = Preemption(term, jobs, orders, gangs)
+        self.gang_holds = GangHolds(term, jobs)
         self.looked = 0
         """Machines that the scheduler looked at, in all."""
         self._pass_requested = False
@@ -81,7 +83,7 @@
 
         Who found no room in an earlier pass looks only where there is more now.
         """
-        freed = self.preemption.begin_pass()
+        freed = self.preemption.begin_pass() | self.gang_holds.ended()
         self._take_up_changes()
         for name in freed:
             machine = self.fleet.machines.get(name)
@@ -148,12 +150,29 @@
         return machine if allowed and fits(machine, kind) else None
 
     def place_gang(self, job: Job, index: MachineIndex, overdue: bool) -> int:
-        keep = self.preemption.unclaimed_by(wire.RANKS[job.spec.rank])
-        count = self.gangs.place(job, index, not overdue, keep)
+        count = self.gangs.place(job, index, not overdue, self.keep_for(job))
         if count:
+            self.preemption.gang_placed(job)
+            self.gang_holds.placed(job)
             self._take_up_changes()
+        elif not job.placed and self.jobs.within_limit(job.spec, job.spec.tasks):
+            self._make_gang_room(job, index, overdue)
         return count
 
+    def _make_gang_room(self, job: Job, index: MachineIndex, overdue: bool) -> None:
+        """Stops others for the gang, or keeps new work off machines that it can use in a while."""
+        if not self.preemption.make_gang_room(job, index) and overdue:
+            self.gang_holds.hold(job, index)
+
+    def keep_for(self, job: Job) -> Callable[[Machine], bool] | None:
+        """Whether a machine's room is kept neither for somebody more important nor for a gang."""
+        unclaimed = self.preemption.unclaimed_by(wire.RANKS[job.spec.rank])
+        free = self.gang_holds.free_for(job)
+        if unclaimed is None or free is None:
+            return unclaimed or free
+        both = unclaimed, free
+        return lambda machine: all(accepts(machine) for accepts in both)
+
     def place(self, job: Job, machine: Machine) -> None:
         """Proposes the placement of the job's next task; it is launched once that is committed."""
         task = job.next_task()
--- a/flaxtally/lead/scheduling_pass.py
+++ b/flaxtally/lead/scheduling_pass.py
@@ -41,6 +41,9 @@
     def place(self, job: Job, machine: Machine) -> None:
         """Places the job's next task."""
 
+    def keep_for(self, job: Job) -> Keep | None:
+        """Which machines' room is not kept from the job; None: none is."""
+
     def place_gang(self, job: Job, index: MachineIndex, overdue: bool) -> int:
         """Places all that is due of a gang, or nothing; returns how many tasks.
 
@@ -113,7 +116,7 @@
         if spec.kind == wire.GANG:
             self.placed += self._scheduler.place_gang(job, self._index, self._is_overdue(job))
             return True
-        keep = self._preemption.unclaimed_by(wire.RANKS[spec.rank])
+        keep = self._scheduler.keep_for(job)
         last: Machine | None = None
         while job.waiting and not self.is_full:
             if not self._jobs.within_limit(spec):
--- a/flaxtally/protocol/shape.py
+++ b/flaxtally/protocol/shape.py
@@ -20,8 +20,10 @@
     spot: bool
     service: bool
     rank: int
-    gathered: bool = False
-    """All tasks of a job begin at the same time in one zone."""
+    gang: bool = False
+    """All tasks of a job begin at the same time."""
+    one_zone: bool = False
+    """Of a gang: in one zone."""
 
     @property
     def best_effort(self) -> bool:
@@ -40,5 +42,6 @@
             spec.spot,
             spec.kind == wire.SERVICE,
             wire.RANKS[spec.rank],
+            spec.kind == wire.GANG,
             spec.kind == wire.GANG and spec.one_zone,
         )
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -6,9 +6,10 @@
 import pytest
 
 from flaxtally.protocol import wire
+from flaxtally.settings import Team
 
 from .scenarios import change_leader, ends_well, leader_of
-from .world import World, gang, spec
+from .world import World, batch, gang, spec
 
 
 def begun(world: World, ref: str) -> list[int]:
@@ -321,3 +322,42 @@
     for number in range(10):
         known = world.rules.jobs[f"j-{100 + number:06d}"]
         assert known.asked_to_cancel or known.told == wire.DONE, (number, world.trace[-40:])
+
+
+def test_a_gang_of_high_rank_stops_lower_work_only_where_it_then_starts_whole() -> None:
+    world = World(capacity=1)
+    for number in range(4):
+        world.submit(batch(f"j-{200 + number:06d}", 8, checkpoint=2.0, save=1.0), 200.0, number)
+    world.run(60.0)
+    busy = dict(world.running)
+    assert len(busy) >= 16
+    # More than the whole fleet: nobody is stopped for it.
+    world.submit(gang("j-000001", 60, rank="high", cores=3.0), run_time=3.0)
+    world.run(15.0)
+    assert {task: where for task, where in world.running.items() if task in busy} == busy
+    world.cancel("j-000001")
+    world.run(5.0)
+    world.submit(gang("j-000002", 6, rank="high", cores=4.0), run_time=3.0)
+    assert world.until(lambda: begun(world, "j-000002") == [1], 12.0), world.trace[-30:]
+    ends_done(world, "j-000002")
+
+
+def test_small_work_does_not_overtake_a_waiting_gang_for_ever() -> None:
+    # Every machine is full of small tasks that end at different times, and more of them come all
+    # the time: without room held for it the gang found none as long as that lasted.
+    world = World(capacity=1, team=Team("crew", 0.0, 500.0, 0.0, 64.0))
+    for number in range(400):
+        job = spec(
+            f"j-{1000 + number:06d}",
+            kind=wire.ARRAY,
+            rank="standard",
+            lane="small",
+            tasks=4,
+            cores=2.0,
+            spread=False,
+            estimate=6.0,
+        )
+        world.after(0.5 * number, world.submit, job, 5.0 + number % 4, number)
+    world.run(60.0)
+    world.submit(gang("j-000001", 5, cores=6.0), run_time=3.0)
+    assert world.until(lambda: begun(world, "j-000001") == [1], 130.0), world.trace[-30:]
