--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -13,14 +13,12 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from typing import Any
 
-from ..clients.store import Outcome, Store
+from ..clients.store import Store
 from ..cluster.election import LEAD
 from ..protocol import formats, wire
 from ..runtime.actor import Actor
-from ..runtime.http import pack
 from ..runtime.loop import Runtime
 from ..runtime.token_bucket import TokenBucket
 from ..settings import StateLimits
@@ -29,6 +27,7 @@
 from .book import CATALOG, FINAL, FORMAT, JOB, Book, FormatTooNew
 from .confirmation import Confirmation
 from .finals import PageOfFinals
+from .transaction import Ending, Transaction, TransactionSender
 
 log = logging.getLogger(__name__)
 
@@ -61,17 +60,6 @@
     return f"{PAGES}{number:08d}"
 
 
-@dataclass(frozen=True)
-class _Transaction:
-    """A commit under way. Sent again unchanged until its outcome is known."""
-
-    generation: int
-    guards: dict[str, int]
-    puts: dict[str, Any]
-    drops: list[str]
-    pages: list[int]
-
-
 class Ledger(Actor):
     """Owns the pages. `lost` is called when somebody else leads."""
 
@@ -126,6 +114,11 @@
         """The page whose records `_content` holds."""
         self._size = 0
         self._busy = self._armed = False
+        self._writing: list[int] = []
+        """The pages that the transaction under way writes."""
+        self._sender = TransactionSender(
+            self.runtime, self._store, self._bucket, self._retry, self._ended
+        )
         self._confirmation = Confirmation(
             self.runtime, self._store, version, self._first, self._gather, self._lost
         )
@@ -141,6 +134,7 @@
     def _restart(self, version: int) -> None:
         """Forgets everything; who waits for leadership to be confirmed is told that it is not."""
         confirmation = self._confirmation
+        self._sender.close()
         self._reset(version)
         confirmation.close()
 
@@ -399,43 +393,18 @@
             self._content_page = max(pages)
             self._content = pages[self._content_page]
         self._busy = True
-        dropped = [page_key(page) for page in drops]
-        self._send(_Transaction(generation, guards, puts, dropped, numbers), unsure=False)
-
-    def _send(self, transaction: _Transaction, unsure: bool) -> None:
-        """Sends it until its outcome is known. `unsure`: a copy may have been applied."""
-        pages = transaction.pages
-
-        def again(unsure: bool) -> None:
-            if transaction.generation == self.generation:
-                self._send(transaction, unsure)
-
-        def told(outcome: Outcome, revision: int) -> None:
-            if transaction.generation != self.generation:
-                return
-            if outcome is Outcome.DONE:
-                self._committed(pages, revision)
-            elif outcome is Outcome.FAILED and unsure:
-                # The first copy may have been applied although its answer was lost: read back.
-                self._read_back(transaction)
-            elif outcome is Outcome.FAILED:
-                log.info("event=commit_refused pages=%s", pages)
-                self._lost()
-            elif outcome is Outcome.INVALID:
-                self._too_large()
-            else:
-                self._bucket.take(len(pages))
-                delay = max(self._retry / 4, self._bucket.wait(len(pages)))
-                self.later(delay, again, unsure or outcome is Outcome.UNKNOWN)
-
-        self._store.transact(
-            transaction.guards,
-            transaction.puts,
-            transaction.drops,
-            told,
-            commit=True,
-            first=not unsure,
-        )
+        self._writing = numbers
+        self._sender.send(Transaction(guards, puts, [page_key(page) for page in drops]))
+
+    def _ended(self, ending: Ending, revision: int) -> None:
+        """The transaction under way came out."""
+        if ending is Ending.COMMITTED:
+            self._committed(revision)
+        elif ending is Ending.TOO_LARGE:
+            self._too_large()
+        else:
+            log.info("event=commit_refused pages=%s", self._writing)
+            self._lost()
 
     def _too_large(self) -> None:
         """The state service accepts less than the settings say.
@@ -451,33 +420,8 @@
         )
         self._lost()
 
-    def _read_back(self, transaction: _Transaction) -> None:
-        """Finds out by a page of it whether the transaction was applied."""
-        pages = transaction.pages
-        key = page_key(pages[-1]) if pages else transaction.drops[-1]
-
-        def told(known: bool, row: wire.Row | None) -> None:
-            if transaction.generation != self.generation:
-                return
-            if not known:
-                self.later(self._retry, self._read_back, transaction)
-            elif (
-                row is not None
-                and row.version != transaction.guards[key]
-                and pack(row.value) == pack(transaction.puts.get(key))
-            ):
-                # A transaction is atomic, and each puts a record that no earlier one did: one page
-                # tells for all.
-                self._committed(pages, row.version)
-            elif row is None and not pages:
-                self._committed(pages, 0)
-            else:
-                self._lost()
-
-        self._store.get(key, told)
-
-    def _committed(self, pages: list[int], revision: int) -> None:
-        for page in pages:
+    def _committed(self, revision: int) -> None:
+        for page in self._writing:
             self._pages[page] = revision
         self._busy = False
         thens, self._thens = self._thens, []
