A gang without room is known to have none before each of its tasks is sought for

Need: with 4,000 simulated machines a vain search for 100,000 tasks took 2.3 s of the loop, each quarter of a second. Change: cores, GPUs and memory are summed first.

--- a/flaxtally/gangs/room.py
+++ b/flaxtally/gangs/room.py
@@ -85,6 +85,8 @@
     placed: dict[str, int],
 ) -> Choice | None:
     spec, index = search.spec, search.machines
+    if not index.can_hold(spec, set(zones) - set(allowed), search.needs, count):
+        return None
     most = spec.zone_share if spec.spread else spec.tasks
     taken = dict(placed)
     claimed: list[Machine] = []
--- a/flaxtally/lead/gangs.py
+++ b/flaxtally/lead/gangs.py
@@ -89,7 +89,7 @@
             attempt = job.newest_attempt + (step is Step.PLACE)
             self._reserve(job, attempt, missing, choice.machines)
             return len(missing)
-        self._no_room[job.no] = now + self.policy.retry / 2
+        self._no_room[job.no] = now + self.policy.retry
         if step is Step.REPLACE:
             self._abandon(job, "no room for a lost task")
         return 0
--- a/flaxtally/planning/machine_index.py
+++ b/flaxtally/planning/machine_index.py
@@ -16,7 +16,7 @@
 
 from ..protocol import wire
 from .fleet import Machine, Pool
-from .placement import SLACK, WIDEN, GpuNeeds, allowed, leaves_gpus_usable, room
+from .placement import SLACK, WIDEN, GpuNeeds, Room, allowed, leaves_gpus_usable, room
 
 _STRIDES_TRIED = 32
 _DIGITS = 6
@@ -261,6 +261,22 @@
             (entry[2] for entry in self._shuffled(spans)), fits, most
         )
 
+    def can_hold(
+        self, spec: wire.Spec, shut: Collection[str], needs: GpuNeeds | None, count: int
+    ) -> bool:
+        """Whether there may be room for that many tasks together.
+
+        By cores, GPUs and memory alone: much less than a search for each of them.
+        """
+        for pool in self._open(spec, shut):
+            kind = pool.kind
+            for span in self._with_room(pool, spec, needs):
+                for entry in itertools.islice(span.items, span.first, span.end):
+                    count -= _most_tasks(spec, room(entry[2], kind))
+                    if count <= 0:
+                        return True
+        return False
+
     def _open(self, spec: wire.Spec, shut: Collection[str]) -> list[_Pool]:
         """The pools that the job may use now."""
         key = (spec.types, spec.zone, spec.spot, spec.cores, spec.gpus, spec.ram)
@@ -361,6 +377,12 @@
         return 1
 
 
+def _most_tasks(spec: wire.Spec, free: Room) -> int:
+    """How many tasks that room holds at most."""
+    sizes = ((spec.cores, free.cores), (spec.gpus, free.gpus), (spec.ram, free.ram))
+    return min((int((left + SLACK) / size) for size, left in sizes if size), default=spec.tasks)
+
+
 class Fit:
     """Whether a machine can hold one more task of a job."""
 
--- a/tests/test_gang_life.py
+++ b/tests/test_gang_life.py
@@ -146,3 +146,14 @@
         choice = choose_missing(search, 2, set(ZONES), {zone: 2}, 60.0)
         assert choice is not None
         assert {machine.zone for machine in choice.machines} == {zone}
+
+
+def test_a_gang_without_room_costs_no_search_for_each_of_its_tasks() -> None:
+    # Measured with 4,000 machines: each vain search for 100,000 tasks took 2.3 s of the loop.
+    rng = random.Random(1)
+    index = MachineIndex.of(fleet(rng, 300), KINDS, rng)
+    search = GangSearch(gang("j-000001", 100_000), 1, index, GpuNeeds(), 24, None)
+    assert choose_all(search, set(ZONES), 60.0) is None
+    assert index.looked == 0
+    few = GangSearch(gang("j-000002", 40), 1, index, GpuNeeds(), 24, None)
+    assert choose_all(few, set(ZONES), 60.0) is not None
