--- a/flaxtally/lead/tracker.py
+++ b/flaxtally/lead/tracker.py
@@ -206,6 +206,8 @@
 
     def _exited(self, machine: Machine, placed: Placement, task: wire.TaskReport) -> None:
         cause = task.cause
+        if cause not in wire.CAUSES:
+            log.warning("event=unknown_cause task=%s cause=%r", placed.name, cause)
         if cause == wire.CAUSE_DONE:
             machine.errors.clear()
             self.failures.forget(placed.job)
--- a/flaxtally/protocol/wire.py
+++ b/flaxtally/protocol/wire.py
@@ -31,8 +31,21 @@
     "in_use",
     "unknown",
 )
+CAUSE_HALTED = "halted"
 CAUSE_PEERS, CAUSE_ALONE = "mates_gone", "incomplete"
 """Of a gang's task: another one is gone, or the gang was not complete in time."""
+CAUSES = frozenset(
+    {
+        CAUSE_DONE,
+        CAUSE_ERROR,
+        CAUSE_FULL,
+        CAUSE_IN_USE,
+        CAUSE_UNKNOWN,
+        CAUSE_HALTED,
+        CAUSE_PEERS,
+        CAUSE_ALONE,
+    }
+)
 FAILED, BOOTING = "failed", "booting"
 
 
@@ -484,7 +497,6 @@
 
 
 LAUNCH, STOP, FORGET = "launch", "stop", "reap"
-CAUSE_HALTED = "halted"
 
 
 def submission(spec: Spec) -> Submission:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -361,3 +361,21 @@
     world.run(60.0)
     world.submit(gang("j-000001", 5, cores=6.0), run_time=3.0)
     assert world.until(lambda: begun(world, "j-000001") == [1], 130.0), world.trace[-30:]
+
+
+def test_an_unknown_reason_is_one_log_line_and_the_other_tasks_count(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    world = World()
+    world.submit(spec("j-000001", tasks=2, spread=False, cores=1.0))
+    assert world.until(lambda: world.count("j-000001") == 2, 60)
+    worker = world.workers[world.machine_of("j-000001/0")]
+    worker.exit(worker.tasks["j-000001/0", 1], "novelty")
+    worker.tasks["j-000001/1", 1].state = "pondering"
+    worker.changed()
+    assert world.until(lambda: world.running.get("j-000001/0", ("", 0))[1] == 2, 20)
+    unknown = [entry.message for entry in caplog.records if "event=unknown" in entry.message]
+    assert sorted(line.split()[0] for line in unknown) == [
+        "event=unknown_cause",
+        "event=unknown_state",
+    ]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -248,3 +248,19 @@
     before = world.state.changes
     world.run(60.0)
     assert world.state.changes - before < 60
+
+
+@pytest.mark.parametrize("loses", [False, True])
+def test_a_gang_that_production_placed_task_by_task_ends_after_the_raise(loses: bool) -> None:
+    # Production took the word and replaced a lost task alone, under another attempt number: such
+    # tasks never meet. Their attempts are given up once the format is raised.
+    world = serving()
+    world.submit(gang("j-000200", 3, cores=2.0), run_time=25.0)
+    assert world.until(lambda: world.count("j-000200") == 3, 60)
+    if loses:
+        world.cloud.take(world.machine_of("j-000200/0"))
+        world.run(3.0)
+    world.roll(every=6.0)
+    assert world.until(lambda: world.format == formats.GANGS, 20.0)
+    ends_well(world, 120.0)
+    assert world.ask("j-000200")[1]["stage"] == wire.DONE
