--- a/flaxtally/gangs/making_room.py
+++ b/flaxtally/gangs/making_room.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from ..ledger.book import Placement
-from ..planning import placement
 from ..planning.fleet import Machine
 from ..planning.packing import Bin, slots
 from ..planning.placement import GpuNeeds, Room
@@ -41,6 +40,22 @@
     loss: float
 
 
+def best_shares(
+    spec: wire.Spec,
+    zones: Collection[str],
+    candidates: Callable[[Collection[str]], Iterable[Candidate]],
+    needs: GpuNeeds,
+    cost: Callable[[list[Share]], float],
+) -> list[Share] | None:
+    """Machines that together hold the gang, in the zones where that costs least; None: nowhere.
+
+    `candidates` gives the machines beside those of zones that are shut.
+    """
+    shut_zones = [set(zones) - {zone} for zone in sorted(zones)] if spec.one_zone else [set[str]()]
+    found = [shares(spec, spec.tasks, candidates(shut), needs) for shut in shut_zones]
+    return min((each for each in found if each is not None), key=cost, default=None)
+
+
 def shares(
     spec: wire.Spec, count: int, candidates: Iterable[Candidate], needs: GpuNeeds
 ) -> list[Share] | None:
@@ -84,11 +99,3 @@
 ) -> int:
     room = Bin(kind, machine.zone, machine.spot, free.cores, free.gpus, free.ram)
     return slots(spec, room, needs)
-
-
-def room_of(machine: Machine, kind: wire.MachineType, claimed: Iterable[wire.Spec]) -> Room:
-    """What is free on the machine beside claims of others."""
-    left = placement.room(machine, kind)
-    for spec in claimed:
-        left = left.minus(spec)
-    return left
--- a/flaxtally/lead/gang_holds.py
+++ b/flaxtally/lead/gang_holds.py
@@ -4,10 +4,10 @@
 
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 
-from ..gangs.making_room import Candidate, Leaving, room_of, shares
+from ..gangs.making_room import Candidate, Leaving, Share, best_shares
 from ..ledger.book import Job
 from ..planning import placement
 from ..planning.fleet import Machine
@@ -104,25 +104,19 @@
         self._ended |= hold.machines
 
     def _choose(self, job: Job, index: MachineIndex, now: float) -> frozenset[str] | None:
-        spec = job.spec
-        zones = [{zone} for zone in sorted(self.fleet.zones)] if spec.one_zone else [set[str]()]
-        best: tuple[float, frozenset[str]] | None = None
-        for zone in zones:
-            shut = self.fleet.zones - zone if zone else set[str]()
-            walked = itertools.islice(
-                index.walk(spec, shut), placement.WIDEN**2 * self.policy.sample
-            )
-            candidates = [
-                Candidate(machine, kind, room_of(machine, kind, ()), self._ending(machine, now))
-                for machine, kind in walked
-            ]
-            found = shares(spec, spec.tasks, candidates, placement.GpuNeeds())
-            if found is None:
-                continue
-            waits = max(share.loss for share in found)
-            if best is None or waits < best[0]:
-                best = waits, frozenset(share.machine.name for share in found)
-        return best[1] if best else None
+        def candidates(shut: Collection[str]) -> Iterator[Candidate]:
+            most = placement.WIDEN**2 * self.policy.sample
+            for machine, kind in itertools.islice(index.walk(job.spec, shut), most):
+                free = placement.room(machine, kind)
+                yield Candidate(machine, kind, free, self._ending(machine, now))
+
+        def longest_wait(found: list[Share]) -> float:
+            return max(share.loss for share in found)
+
+        found = best_shares(
+            job.spec, self.fleet.zones, candidates, placement.GpuNeeds(), longest_wait
+        )
+        return None if found is None else frozenset(share.machine.name for share in found)
 
     @staticmethod
     def _ending(machine: Machine, now: float) -> list[Leaving]:
--- a/flaxtally/lead/gangs.py
+++ b/flaxtally/lead/gangs.py
@@ -72,14 +72,17 @@
 
     # Placing
 
+    def is_due(self, job: Job) -> bool:
+        """Whether room for the gang may be sought: not again right after there was none."""
+        no_room_until = self._no_room.get(job.no, 0.0)
+        return self.ledger.book.format >= formats.GANGS and no_room_until <= self.runtime.now()
+
     def place(self, job: Job, index: MachineIndex, needs: bool, keep: Keep | None) -> int:
         """Places what is due of a gang, all of it or nothing; returns how many tasks.
 
         `needs`: what GPU tasks need beside their GPUs is kept for them.
         """
         now = self.runtime.now()
-        if self.ledger.book.format < formats.GANGS or self._no_room.get(job.no, 0.0) > now:
-            return 0
         step = self._next_step(job)
         if step not in (Step.PLACE, Step.REPLACE):
             return 0
--- a/flaxtally/lead/preemption.py
+++ b/flaxtally/lead/preemption.py
@@ -4,9 +4,9 @@
 
 import itertools
 import logging
-from collections.abc import Callable, Collection, Hashable
+from collections.abc import Callable, Collection, Hashable, Iterator
 
-from ..gangs.making_room import Candidate, Leaving, Share, shares
+from ..gangs.making_room import Candidate, Leaving, Share, best_shares
 from ..ledger.book import Job, Placement
 from ..planning import placement
 from ..planning.fleet import Machine
@@ -129,30 +129,21 @@
     def _least_gang_loss(self, job: Job, index: MachineIndex, now: float) -> list[Share] | None:
         spec = job.spec
         entitled = job.no not in self.jobs.queue.beyond
-        zones = [{zone} for zone in sorted(self.fleet.zones)] if spec.one_zone else [set[str]()]
-        best: list[Share] | None = None
-        for zone in zones:
-            shut = self.fleet.zones - zone if zone else set[str]()
-            walked = itertools.islice(
-                index.walk(spec, shut), placement.WIDEN**2 * self.policy.sample
-            )
-            candidates = [
-                Candidate(
-                    machine,
-                    kind,
-                    self._unclaimed_room(machine, kind),
-                    [
-                        Leaving(placed, self._loss(placed, now))
-                        for placed in machine.placements.values()
-                        if placed.seen and self._gives_way(placed, spec, entitled, now)
-                    ],
-                )
-                for machine, kind in walked
-            ]
-            found = shares(spec, spec.tasks, candidates, self.jobs.needs)
-            if found is not None and (best is None or _loss_of(found) < _loss_of(best)):
-                best = found
-        return best
+
+        def candidates(shut: Collection[str]) -> Iterator[Candidate]:
+            most = placement.WIDEN**2 * self.policy.sample
+            for machine, kind in itertools.islice(index.walk(spec, shut), most):
+                leaving = [
+                    Leaving(placed, self._loss(placed, now))
+                    for placed in machine.placements.values()
+                    if placed.seen and self._gives_way(placed, spec, entitled, now)
+                ]
+                yield Candidate(machine, kind, self._unclaimed_room(machine, kind), leaving)
+
+        def whole_loss(found: list[Share]) -> float:
+            return sum(share.loss for share in found)
+
+        return best_shares(spec, self.fleet.zones, candidates, self.jobs.needs, whole_loss)
 
     def make_room_to_move(self, placed: Placement, machine: Machine) -> None:
         """Stops best-effort tasks on the machine so that a replica can move there."""
@@ -268,7 +259,3 @@
         if placed.job.spec.kind == wire.GANG:
             return self.gangs.loss(placed.job)
         return placed.job.spec.save if placed.job.spec.checkpoint else now - placed.ran_at
-
-
-def _loss_of(found: list[Share]) -> float:
-    return sum(share.loss for share in found)
--- a/flaxtally/lead/scheduler.py
+++ b/flaxtally/lead/scheduler.py
@@ -150,6 +150,8 @@
         return machine if allowed and fits(machine, kind) else None
 
     def place_gang(self, job: Job, index: MachineIndex, overdue: bool) -> int:
+        if not self.gangs.is_due(job):
+            return 0
         count = self.gangs.place(job, index, not overdue, self.keep_for(job))
         if count:
             self.preemption.gang_placed(job)
--- a/tests/test_gang_life.py
+++ b/tests/test_gang_life.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 
+import pytest
 from hypothesis import given
 from hypothesis import settings as examples
 from hypothesis import strategies as st
@@ -18,13 +19,15 @@
     next_step,
     phase_of,
 )
+from flaxtally.gangs.making_room import Candidate, Leaving, shares
 from flaxtally.gangs.room import GangSearch, choose_all, choose_missing
+from flaxtally.ledger.book import Book
 from flaxtally.planning.fleet import Machine
 from flaxtally.planning.machine_index import MachineIndex
-from flaxtally.planning.placement import GpuNeeds
+from flaxtally.planning.placement import GpuNeeds, Room
 from flaxtally.protocol import wire
 
-from .world import TYPES, ZONES, gang
+from .world import TYPES, ZONES, batch, gang
 
 KINDS = {kind.name: kind for kind in TYPES}
 TIMES = Times(wait=20.0, peer=4.0)
@@ -157,3 +160,36 @@
     assert index.looked == 0
     few = GangSearch(gang("j-000002", 40), 1, index, GpuNeeds(), 24, None)
     assert choose_all(few, set(ZONES), 60.0) is not None
+
+
+@given(st.integers(0, 10**6), st.integers(1, 14))
+@examples(derandomize=True, max_examples=120)
+def test_room_is_made_for_all_tasks_or_nobody_leaves(seed: int, tasks: int) -> None:
+    rng = random.Random(seed)
+    job = gang("j-000001", tasks, cores=3.0, ram=1.0)
+    book = Book()
+    book.apply(["J", 1, 1.0, *wire.msgspec.to_builtins(batch("j-000002", 40, checkpoint=1.0))], 1)
+    candidates, most = [], 0
+    for number, machine in enumerate(fleet(rng, 5)):
+        kind = KINDS[machine.kind]
+        leaving = []
+        for task in range(number * 8, number * 8 + rng.randrange(4)):
+            book.apply(["P", 1, task, 1, machine.name, machine.zone], 1)
+            leaving.append(Leaving(book.jobs[1].placed[task], rng.uniform(0, 50)))
+        free = Room(kind.cores - machine.cores, 0.0, 64.0)
+        candidates.append(Candidate(machine, kind, free, leaving))
+        most += int((free.cores + 3.0 * len(leaving) + 1e-6) / 3.0)
+    found = shares(job, tasks, candidates, GpuNeeds())
+    assert (found is not None) == (most >= tasks)
+    if found is None:
+        return
+    assert sum(share.tasks for share in found) >= tasks
+    by_machine = {candidate.machine: candidate for candidate in candidates}
+    for share in found:
+        candidate = by_machine[share.machine]
+        left = candidate.free.cores + 3.0 * len(share.leaving)
+        assert share.tasks * 3.0 <= left + 1e-6
+        # Nobody leaves without whom as many tasks would fit.
+        assert not share.leaving or (share.tasks * 3.0) > left - 3.0 * len(share.leaving) + 1e-6
+        losses = [leaving.loss for leaving in candidate.leaving if leaving.placed in share.leaving]
+        assert share.loss == pytest.approx(sum(losses))
