--- a/flaxtally/lead/gangs.py
+++ b/flaxtally/lead/gangs.py
@@ -163,12 +163,13 @@
         left = [each for each in placed if job.placed.get(each.task) is each]
         for each in left:
             each.committed = True
-        whole = len(job.placed) == job.spec.tasks and self._attempt_of(job).stopped_at is None
-        if whole and not job.cancelled:
+        attempt = self._attempt_of(job)
+        given_up = job.cancelled or attempt.is_broken or attempt.stopped_at is not None
+        if len(job.placed) == job.spec.tasks and not given_up:
             for each in left:
                 self.orders.launch(each)
             return
-        # A machine was released meanwhile, or the user cancelled: nothing of it was launched.
+        # A machine was released meanwhile, or it was called off: nothing of it was launched.
         for each in left:
             self.over(each, "withdrawn before launch")
         self.look(job)
