--- a/flaxtally/lead/gangs.py
+++ b/flaxtally/lead/gangs.py
@@ -215,6 +215,7 @@
 
     def watch(self) -> None:
         """Repeats orders to stop that were not carried out; forgets gangs that are over."""
+        self._look_again()
         for no in list(self._attempts):
             job = self.jobs.live.get(no)
             if job is None:
@@ -226,6 +227,14 @@
                 self.look(job)
                 self._repeat_stops(job)
 
+    def _look_again(self) -> None:
+        """A pass for gangs that found no room a while ago: nothing else may ask for one."""
+        now = self.runtime.now()
+        waiting = {no: until for no, until in self._no_room.items() if until > now}
+        if len(waiting) < len(self._no_room):
+            self._no_room = waiting
+            self.term.request_pass()
+
     def _take_up_stop(self, job: Job) -> None:
         """Goes on with a stop that an earlier leader began: all tasks must be told in time."""
         saving = any(placed.state == wire.FLUSHING for placed in job.placed.values())
--- a/flaxtally/ledger/commit.py
+++ b/flaxtally/ledger/commit.py
@@ -42,9 +42,9 @@
 LEAST_PAGE_BYTES = 768
 CLEANED_BYTES = 7 * 1024
 """Of pages that are cleaned at a time."""
-LOOSE = 3
-"""Times what the pages still mean, from which on they are cleaned. Jobs that are each written into
-one page leave up to half of the pages empty: cleaning below that would never end.
+LOOSE = 2
+"""Times what the pages still mean, from which on they are cleaned. What doesn't fit into the rest
+of a page begins a new one, so up to half of all may be empty: cleaning below that would never end.
 """
 FEW_PAGES = 8
 """Not worth cleaning."""
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -7,6 +7,7 @@
 
 from flaxtally.protocol import wire
 from flaxtally.settings import Team
+from flaxtally.standin.held_task import Held
 
 from .scenarios import change_leader, ends_well, leader_of
 from .world import World, batch, gang, spec
@@ -49,6 +50,17 @@
     }
 
 
+def test_a_gang_begins_soon_after_its_machines_are_up_though_nothing_else_happens() -> None:
+    # Found with lower limits in the middle of a commit: a gang that found no room as the first of
+    # its machines came up was not looked at again before it was overdue.
+    world = World(capacity=30)
+    world.submit(spec("j-000009", tasks=2))
+    world.run(25.0)
+    world.submit(gang("j-000001", 390, cores=0.5, ram=0.5), run_time=5.0)
+    # A plan, a boot of 8 s (at most 1.5 times that), an image.
+    assert world.until(lambda: begun(world, "j-000001") == [1], 18.0), world.trace[-5:]
+
+
 def test_a_lost_machine_restarts_the_whole_gang_from_its_checkpoint() -> None:
     # Found in the production version: a lost task came back alone with another attempt number, so
     # the gang never met again.
@@ -379,3 +391,54 @@
         "event=unknown_cause",
         "event=unknown_state",
     ]
+
+
+def test_a_gang_that_fits_its_teams_limit_only_once_another_is_proven_over() -> None:
+    # `World` checks the limit at every start.
+    world = World(team=Team("crew", 0.0, 20.0, 0.0, 8.0), capacity=6)
+    world.submit(gang("j-000001", 8, cores=2.0), run_time=60.0)
+    assert world.until(lambda: begun(world, "j-000001") == [1], 90)
+    world.submit(gang("j-000002", 6, cores=2.0), run_time=3.0)
+    silent = sorted(machines_of(world, "j-000001"))[:1]
+    world.run(5.0)
+    world.machine_trouble("hung", silent, 12.0)
+    world.cancel("j-000001")
+    world.run(2.0)
+    assert begun(world, "j-000002") == []
+    ends_done(world, "j-000002")
+
+
+def test_lower_limits_in_the_middle_of_a_gangs_commit() -> None:
+    world = World(value_bytes=8192, capacity=30)
+    world.state.enforce(8192, 32)
+    world.submit(spec("j-000009", tasks=2))
+    world.run(25.0)
+    world.submit(gang("j-000001", 390, cores=0.5, ram=0.5), run_time=5.0)
+    assert world.until(lambda: world.nodes[leader_of(world)].ledger._busy, 30.0)
+    world.state.enforce(2048, 4, 15.0)
+    ends_done(world, "j-000001", 150.0)
+    assert begun(world, "j-000001") in ([1], [2])
+
+
+def test_copies_of_a_gangs_submission_at_several_nodes_are_one_gang() -> None:
+    world = World()
+    world.submit(spec("j-000009", tasks=2))
+    world.run(20.0)
+    for node in range(3):
+        world.submit(gang("j-000001", 4), run_time=4.0, node=node)
+    ends_done(world, "j-000001")
+    assert begun(world, "j-000001") == [1]
+    assert len(world.gangs.exits) == 4
+
+
+def test_a_waiting_task_of_an_attempt_that_nobody_placed_is_stopped() -> None:
+    world = running_gang(run_time=60.0)
+    world.cloud.add("c16", "a", False, boot=1.0)
+    world.run(6.0)
+    worker = world.workers[min(set(world.workers) - machines_of(world, "j-000001"))]
+    stray = Held("j-000777/0", 3, wire.WAITING)
+    worker.tasks["j-000777/0", 3] = stray
+    worker.changed()
+    assert world.until(lambda: ("j-000777/0", 3) not in worker.tasks, 20.0)
+    assert stray.state == wire.EXITED
+    assert begun(world, "j-000001") == [1]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -264,3 +264,63 @@
     assert world.until(lambda: world.format == formats.GANGS, 20.0)
     ends_well(world, 120.0)
     assert world.ask("j-000200")[1]["stage"] == wire.DONE
+
+
+def test_the_state_service_refuses_the_leader_alone_during_the_raise() -> None:
+    world = serving(upgraded=NODES[:2])
+    world.upgrade(NODES[2], back_after=1.0)
+    world.run(1.0)
+    world.refuse(leader_of(world), 8.0)
+    assert world.until(lambda: world.format == formats.GANGS, 30.0)
+    world.submit(gang("j-000200", 4), run_time=3.0)
+    ends_well(world)
+    assert world.ask("j-000200")[1]["stage"] == wire.DONE
+
+
+def test_what_was_told_before_the_roll_is_told_after_it() -> None:
+    world = serving()
+    world.submit(batch("j-000300", 3), run_time=2.0)
+    assert world.until(lambda: world.ask("j-000300")[1]["stage"] == wire.DONE, 60.0)
+    world.cancel("j-000001")
+    assert world.until(lambda: "j-000001" in world.told_cancelled, 30.0)
+    world.roll(every=6.0)
+    assert world.ask("j-000300")[1]["stage"] == wire.DONE
+    assert world.ask("j-000001")[1]["stage"] == wire.ABORTED
+    assert world.ask("j-000000")[1]["stage"] == wire.RUNNING
+    for ref in ("j-000300", "j-000001", "j-000000"):
+        world.look_closely(ref)
+    world.run(3.0)
+
+
+def test_a_burst_of_submissions_at_the_lower_rate_forgets_none() -> None:
+    world = serving(upgraded=NODES)
+    world.lower_limits()
+    for number in range(200):
+        world.submit(batch(f"j-{1000 + number:06d}", 1, image="img-1"), 1.0, number)
+    assert world.until(lambda: len(world.accepted) == 207, 60.0)
+    ends_well(world, 150.0)
+    assert {world.rules.jobs[f"j-{1000 + number:06d}"].told for number in range(200)} == {wire.DONE}
+    assert not world.state.over_limit
+
+
+def test_the_limits_fall_while_pages_are_cleaned() -> None:
+    # Pages of production are said anew in small ones, under a leader that is replaced meanwhile.
+    world = serving()
+    for number in range(160):
+        world.after(0.2 * number, world.submit, batch(f"j-{1000 + number:06d}", 6), 1.0, number)
+    world.run(40.0)
+    world.roll(every=5.0)
+    cleaning = [False]
+
+    def is_cleaning() -> bool:
+        leader = world.leader()
+        cleaning[0] = leader is not None and world.nodes[leader].ledger._cleaning
+        return cleaning[0]
+
+    for number in range(160):
+        world.after(0.2 * number, world.submit, batch(f"j-{3000 + number:06d}", 6), 1.0, number)
+    assert world.until(is_cleaning, 60.0)
+    world.lower_limits()
+    change_leader(world)
+    ends_well(world, 150.0)
+    assert not world.state.over_limit
