A leader without the state service no longer takes refused connections for dead peers

Cause: a leader that does not reach the state service may change machines only while no other controller can have replaced it. `LeaderElection.may_be_superseded` counted a peer that refuses connections as dead unless its frames came through the state service. Behind a packet filter, and refused by the state service alone, all peers looked dead, while one of them led.

Change: without the state service only peers with which frames are exchanged directly and in both directions rule a successor out. Refused, silent and relayed count alike (a relayed frame needs the state service, so it says nothing once that is lost). `supersession_possible` names the peers. Why it holds: a peer that is heard and hears us can't take over without our hearing of it; of any other nothing is known, and a leader in an outage with dead peers can't be told apart from this.

--- a/flaxtally/cluster/leader_election.py
+++ b/flaxtally/cluster/leader_election.py
@@ -148,14 +148,20 @@
     def may_be_superseded(self) -> bool:
         """Whether another controller may have taken over unnoticed.
 
-        True if the key-value store does not reply and some other controller is neither reachable
-        nor dead. (In a mere outage of the store, the others are reachable and can't take over.)
+        True if the key-value store does not reply and some link to another controller is down. (In
+        a mere outage of the store the links are up, and whoever takes over is heard.) A refused
+        connection counts like silence: a dead process refuses, but so does a packet filter in front
+        of a successor, and the relay that could tell them apart needs the store.
+        """
+        return not self.is_store_reachable and bool(self.list_unreachable_peers())
+
+    def list_unreachable_peers(self) -> list[str]:
+        """Returns the controllers with which frames are not exchanged directly in both directions.
+
+        Frames relayed through the store do not count: they end with the contact to the store.
         """
         peers = self._peers
-        return not self.is_store_reachable and not all(
-            peers.is_reachable(peer) or peers.refuses_connections(peer)
-            for peer in peers.last_heard_at
-        )
+        return [peer for peer in peers.last_heard_at if peers.is_link_down(peer)]
 
     @property
     def seconds_since_leader_contact(self) -> float:
--- a/flaxtally/leader/leader.py
+++ b/flaxtally/leader/leader.py
@@ -228,7 +228,11 @@
         may_be_superseded = self._election.may_be_superseded
         self.term.may_be_superseded = may_be_superseded
         if may_be_superseded:
-            log.info("event=supersession_possible term=%d", self.term.number)
+            log.info(
+                "event=supersession_possible term=%d unreachable=%s",
+                self.term.number,
+                ",".join(self._election.list_unreachable_peers()),
+            )
             return
         log.info("event=supersession_ruled_out term=%d", self.term.number)
         self.duties.machine_monitor.reset_missing_heartbeats()
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -497,6 +497,18 @@
             for_s,
         )
 
+    def refuse_peers(self, node: str, for_s: float) -> None:
+        """Resets and refuses the connections between the controller and all others.
+
+        Its workers, its users and the state service still reach it.
+        """
+        self.add_trace_line(f"connections between {node} and its peers are refused")
+        for other in self.names:
+            if other != node:
+                self.sim.refuse(self.ip(node), self.ip(other))
+                pair = frozenset((self.ip(node), self.ip(other)))
+                self.after(for_s, self.sim.refused_pairs.discard, pair)
+
     def run_without_faults(self, for_s: float = 110.0) -> None:
         """Runs after all faults have ended, while users poll their jobs.
 
