A leader suspends its term when a machine reports the token of a later one

Cause: a heartbeat or a reply under a higher fencing token proves nothing about tasks and was dropped, after a log line. But only a later leader sends a higher token.

Workers' own heartbeats with a higher token were answered 421 and not passed on at all.

Change: each of these three (heartbeat, reply to a command, reply to a probe) suspends the term as a pause of the process does, until a compare-only transaction sent after it shows that this controller leads. The suspension moves out of `leader.py` into a module of its own. `higher_token` is logged once for each machine and token. Why it holds: a token above the term exists only if a later term was won, so the comparison fails and the controller follows; where the worker is faulty the comparison succeeds, and the same report suspends no more.

--- a/flaxtally/api/heartbeat_endpoint.py
+++ b/flaxtally/api/heartbeat_endpoint.py
@@ -114,6 +114,7 @@
         if token > election.term:
             # The worker has commands of a newer term than this controller knows: this controller
             # is not entitled to act.
+            self._leader.handle_higher_token(heartbeat.machine, token)
             return _Reply(MISDIRECTED, wire.Redirect(None))
         if election.term == 0 or election.seconds_since_leader_contact > self._unattended_s:
             return _Reply(UNAVAILABLE, None)
--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -240,11 +240,6 @@
             log.warning("cannot decode a worker's reply, ignoring it: %s", error)
             return
         if heartbeat.fencing_token > self.term.number:
-            log.info(
-                "event=higher_token term=%d token=%d machine=%s",
-                self.term.number,
-                heartbeat.fencing_token,
-                heartbeat.machine,
-            )
+            self.term.on_higher_token(heartbeat.machine, heartbeat.fencing_token)
             return
         self._on_heartbeat(controller or "", heartbeat)
--- a/flaxtally/leader/leader.py
+++ b/flaxtally/leader/leader.py
@@ -12,6 +12,7 @@
 
 from ..protocol.formats import GANGS, LENDING
 from ..runtime.actor import Actor
+from .suspension import Suspension
 from .takeover import take_over
 from .term import LeaderContext, Term
 from .term_duties import TermDuties
@@ -54,15 +55,18 @@
         self._transport = transport
         self._formats = formats
         self._lending = lending
-        self.duties = self._create_duties(NO_TERM, {})
+        self._begin_duties(NO_TERM, {})
         policy = context.policy
         self.every(policy.retry, self._run_periodic_checks)
         self.every(policy.plan_step, self._plan_fleet)
         self.every(max(context.settings.list_lag_s, policy.plan_step), self._list_machines)
 
-    def _create_duties(self, number: int, machine_types: dict[str, wire.MachineType]) -> TermDuties:
+    def _begin_duties(self, number: int, machine_types: dict[str, wire.MachineType]) -> None:
+        """Creates a term that is not active yet, and its duties."""
         term = Term(number, self._context, machine_types)
-        return TermDuties(term, self._transport, self._lending)
+        self.duties = TermDuties(term, self._transport, self._lending)
+        self._suspension = Suspension(term, self._on_leadership_confirmed)
+        term.on_higher_token = self._suspension.handle_higher_token
 
     @property
     def term(self) -> Term:
@@ -82,8 +86,8 @@
         `number`: the term's number and fencing token. `leader_key_version`: the version of the
         leader key that this controller holds.
         """
-        self.term.active = False
-        self.duties = self._create_duties(number, self.term.machine_types)
+        self.term.end()
+        self._begin_duties(number, self.term.machine_types)
         self._context.cloud.drop_queued_calls()
         self._context.limits.end_term()
         self._formats.begin_term(leader_key_version)
@@ -93,12 +97,12 @@
         """Ends the term after this controller stepped down; does nothing if it was not leading."""
         if self.term.number == NO_TERM:
             return
-        self.term.active = False
+        self.term.end()
         self._context.limits.end_term()
         self._formats.end_term()
         self._context.ledger.close()
         self._context.cloud.drop_queued_calls()
-        self.duties = self._create_duties(NO_TERM, self.term.machine_types)
+        self._begin_duties(NO_TERM, self.term.machine_types)
 
     def _on_replayed(self) -> None:
         term = self.term
@@ -109,50 +113,23 @@
         self._context.limits.begin_term(term.number)
         take_over(self.duties, self._transport)
 
-    # A paused process
+    # Signs that another controller leads
 
     def on_pause(self, pause_s: float) -> None:
-        """Suspends the term after the process was paused: another controller may lead by now.
-
-        Provisioning, terminations and commands wait until leadership is confirmed. Commits need not
-        wait: they fail if another leader has taken over.
-        """
-        term = self.term
-        if term.number == NO_TERM:
+        """Suspends the term after the process was paused, and extends the deadlines."""
+        if self.term.number == NO_TERM:
             return
-        term.pause_count += 1
         self.duties.on_pause(pause_s)
-        self._context.cloud.pause_calls()
-        if not term.is_suspended:
-            term.is_suspended = True
-            self._confirm_leadership(term)
-
-    def _confirm_leadership(self, term: Term) -> None:
-        """Resumes the term after a read barrier that no further pause interrupted.
-
-        Tries again after `retry` if it was interrupted or leadership was not confirmed.
-        """
-        if term is not self.term:
-            return
-        pause_count = term.pause_count
-
-        def on_confirmed(is_leader: bool) -> None:
-            if term is not self.term:
-                return
-            if not is_leader or pause_count != term.pause_count:
-                self.later(self._context.policy.retry, self._confirm_leadership, term)
-                return
-            self._resume()
+        self._suspension.handle_pause()
 
-        self._context.ledger.confirm_leadership(on_confirmed)
+    def handle_higher_token(self, machine: str, token: int) -> None:
+        """Suspends the term: a machine reports a fencing token above the term's."""
+        if self.term.active:
+            self._suspension.handle_higher_token(machine, token)
 
-    def _resume(self) -> None:
-        term = self.term
-        log.info("event=leadership_confirmed term=%d", term.number)
-        term.is_suspended = False
-        self._context.cloud.resume()
+    def _on_leadership_confirmed(self) -> None:
         self.duties.commands.resume()
-        term.request_pass()
+        self.term.request_pass()
 
     # Requests of users and operators
 
--- a/flaxtally/leader/reconciliation/heartbeat_handler.py
+++ b/flaxtally/leader/reconciliation/heartbeat_handler.py
@@ -37,6 +37,8 @@
         term, fleet = self.term, self.fleet
         if not term.active or heartbeat.machine in fleet.removed_machines:
             return
+        if heartbeat.fencing_token > term.number:
+            term.on_higher_token(heartbeat.machine, heartbeat.fencing_token)
         machine = fleet.machines.get(heartbeat.machine)
         if machine is None:
             machine = self._discover_machine(heartbeat)
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from ..clients.cloud import Cloud
     from ..ledger.write_ahead_log import WriteAheadLog
@@ -35,6 +36,10 @@
     limits: TeamLimits
 
 
+def _ignore_token(_machine: str, _token: int) -> None:
+    """Ignores a fencing token that a machine reports while this controller does not lead."""
+
+
 class Term:
     """One term of a leader.
 
@@ -60,15 +65,24 @@
         self.limits = context.limits
         self.machine_types = machine_types
         self.active = False
+        self.is_over = False
+        """Whether this controller has stopped leading the term: it never becomes active again."""
         self.may_be_superseded = False
         """Whether another controller may lead by now: see `LeaderElection.may_be_superseded`."""
         self.is_suspended = False
-        """Whether the process was paused and leadership has not been confirmed since."""
+        """Whether leadership is in doubt and has not been confirmed since: see `Suspension`."""
         self.pause_count = 0
         """How often the process was paused: a timeout during a pause proves nothing."""
         self.began_at = context.runtime.now()
         self.fleet = Fleet(context.runtime, context.ledger, context.settings.zones)
         self.pass_requests = PassRequests()
+        self.on_higher_token: Callable[[str, int], None] = _ignore_token
+        """Called with the machine and its fencing token if that is above the term's number."""
+
+    def end(self) -> None:
+        """Ends the term: replies that arrive later are ignored."""
+        self.active = False
+        self.is_over = True
 
     def request_pass(self) -> None:
         """Asks the scheduler for a pass over the pending jobs."""
--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -6,12 +6,20 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from flaxtally.protocol import wire
+from flaxtally.runtime.http import Client
+
 from .scenarios import check_final_state, start_busy_cluster, term, wait_for_leader
 from .simulated_cluster import NODES, spec
 
 if TYPE_CHECKING:
+    import pytest
+
     from .simulated_cluster import SimulatedCluster
 
 COOL_DOWN_S = 30.0
@@ -90,3 +98,56 @@
     cluster.run(2 * COOL_DOWN_S)
     assert not set(spare) & set(cluster.workers), cluster.cloud.change_requests
     assert term(cluster) == before
+
+
+def send_heartbeat_with_token(
+    cluster: SimulatedCluster, machine: str, node: str, token: int
+) -> None:
+    """Sends the controller a heartbeat of the machine that carries this fencing token."""
+    worker = cluster.workers[machine]
+    heartbeat = msgspec.structs.replace(worker.report(), fencing_token=token)
+    Client(cluster.user, (cluster.ip(node), 8080)).request(
+        "POST", wire.HEARTBEAT, heartbeat, 4.0, lambda _: None
+    )
+
+
+def test_leader_changes_no_machine_after_one_reported_the_token_of_a_later_term(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # Only a later leader can have given a machine a higher token. A former leader logged this proof
+    # twice a second and went on terminating machines, since nothing else told it (review/2).
+    cluster, spare = start_cluster_with_idle_machines()
+    cluster.run(4)
+    leader, before = wait_for_leader(cluster), term(cluster)
+    cluster.start_state_outage(2 * COOL_DOWN_S)
+    cluster.run(1)
+    requested = count_changes_requested_by(cluster, leader)
+    caplog.set_level(logging.INFO)
+    for _ in range(3):
+        send_heartbeat_with_token(cluster, spare[0], leader, before + 1)
+        cluster.run(1)
+    cluster.run(2 * COOL_DOWN_S - 6.0)
+    assert count_changes_requested_by(cluster, leader) == requested
+    assert caplog.text.count("event=higher_token") == 1
+    # The store shows that the token was none of a later leader: the leader goes on.
+    cluster.run(10)
+    assert "event=leadership_confirmed" in caplog.text
+    assert cluster.run_until(lambda: not set(spare) <= set(cluster.workers), COOL_DOWN_S)
+    assert (cluster.leader(), term(cluster)) == (leader, before)
+
+
+def test_leader_is_suspended_once_by_a_worker_that_reports_a_token_nobody_sent(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # A faulty worker must not keep the leader from working: its token is refuted once.
+    cluster, spare = start_cluster_with_idle_machines()
+    leader, before = wait_for_leader(cluster), term(cluster)
+    caplog.set_level(logging.INFO)
+    for _ in range(5):
+        send_heartbeat_with_token(cluster, spare[0], leader, before + 1000)
+        cluster.run(1)
+    assert caplog.text.count("event=higher_token") == 1
+    assert caplog.text.count("event=leadership_confirmed") == 1
+    cluster.submit(spec("j-000500", tasks=2), node=NODES.index(leader))
+    assert cluster.run_until(lambda: cluster.count("j-000500") == 2, 15), cluster.trace[-20:]
+    assert term(cluster) == before
