A controller decides nothing more from the moment at which it steps down

What callers could see: machines released or rented, tasks moved or preempted, by a controller that had just learnt of its successor.

Cause: a step-down ends the term one turn of the event loop later. Until then `Term.may_act` held, so timers that fell due in the same turn still acted. `may_act` was also as old as the last periodic check with regard to the loss of the state service and of peers.

Change: `may_act` asks the election each time: does this controller lead, in this term, and may it have been superseded? Why it holds: the role changes before anything else of a step-down happens.

Measured: test_leader_may_not_act_from_the_moment_of_its_step_down_on failed before, passes now.

--- a/flaxtally/controller.py
+++ b/flaxtally/controller.py
@@ -225,6 +225,7 @@
                 cloud=scope.cloud,
                 rng=rng,
                 limits=scope.limits,
+                leadership=self.election,
             ),
             election=self.election,
             transport=self.command_relay,
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from ..lending.entitlement import NO_RESOURCES, Amounts, Quota
 from ..runtime.actor import Actor
@@ -23,6 +23,22 @@
     from .team_limits import TeamLimits
 
 
+class Leadership(Protocol):
+    """What the leader election knows about this controller's leadership."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this controller believes that it leads."""
+
+    @property
+    def term(self) -> int:
+        """The newest term that this controller knows of."""
+
+    @property
+    def may_be_superseded(self) -> bool:
+        """Whether another controller may have taken over unnoticed."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class LeaderContext:
     """The collaborators of a leader in all of its terms."""
@@ -34,6 +50,7 @@
     cloud: Cloud
     rng: random.Random
     limits: TeamLimits
+    leadership: Leadership
 
 
 def _ignore_token(_machine: str, _token: int) -> None:
@@ -63,6 +80,7 @@
         self.cloud = context.cloud
         self.rng = context.rng
         self.limits = context.limits
+        self._leadership = context.leadership
         self.machine_types = machine_types
         self.active = False
         self.is_over = False
@@ -102,8 +120,19 @@
 
     @property
     def may_act(self) -> bool:
-        """Whether the leader may provision, terminate, send commands, move and preempt."""
-        return self.active and not self.may_be_superseded and not self.is_suspended
+        """Whether the leader may decide to provision, terminate, move and preempt.
+
+        False from the moment of a step-down on, although the term ends a little later.
+        """
+        leadership = self._leadership
+        return (
+            self.active
+            and not self.is_suspended
+            and not self.may_be_superseded
+            and leadership.is_leader
+            and leadership.term == self.number
+            and not leadership.may_be_superseded
+        )
 
 
 class TermActor(Actor):
--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -151,3 +151,14 @@
     cluster.submit(spec("j-000500", tasks=2), node=NODES.index(leader))
     assert cluster.run_until(lambda: cluster.count("j-000500") == 2, 15), cluster.trace[-20:]
     assert term(cluster) == before
+
+
+def test_leader_may_not_act_from_the_moment_of_its_step_down_on() -> None:
+    # The term ends one turn of the event loop after the step-down. Timers that became due in that
+    # turn still rented and released machines for a controller that knew it was replaced.
+    cluster, _ = start_cluster_with_idle_machines()
+    leader = cluster.nodes[wait_for_leader(cluster)]
+    assert leader.leader.term.may_act
+    leader.election.step_down()
+    assert leader.leader.term.active
+    assert not leader.leader.term.may_act
