Leadership is confirmed when a call that changes machines is about to be sent

Shown in simulation; found by going through the acts that no machine can fence.

Calls to the cloud then waited for the rate limit and, beyond three, for a connection inside the HTTP client, and were sent when their turn came, whoever led.

Change: `Cloud` asks a guard when the turn of a call that provisions or terminates has come, and keeps no more calls open than it has connections, so that none waits behind the guard. The leader's guard is a compare-only transaction sent then. Without the state service, contact with all peers stands in: a frame of each within half of `peer_silence`, its report that it hears us, and no connection refused or ended since (the end of an inbound connection is recorded for this). A call that is kept back has the outcome of one refused in an outage. Why it holds: the transaction fails once a takeover is committed. A peer that lost the leader campaigns after a whole `peer_silence` at the earliest, or at once when connections end, which both sides see. What stays: a call that was confirmed and sent may be carried out late.

--- a/flaxtally/clients/cloud.py
+++ b/flaxtally/clients/cloud.py
@@ -1,4 +1,8 @@
-"""Client of the cloud: all calls share one budget, and urgent calls are sent first."""
+"""Client of the cloud: all calls share one budget, and urgent calls are sent first.
+
+The cloud fences nothing: it executes what any controller asks. A call that changes machines is
+therefore checked with a guard at the moment at which it would be sent, however long it was queued.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +10,9 @@
 import heapq
 import itertools
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
@@ -25,14 +31,15 @@
 from ..runtime.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ..runtime.loop import Address, Runtime
 
 log = logging.getLogger(__name__)
 
 Message = TypeVar("Message")
 
+ChangeGuard = Callable[[Callable[[], None], Callable[[], None]], None]
+"""Calls the first callback if a call that changes machines may be sent now, else the second."""
+
 MAX_MACHINES_PER_TERMINATE_CALL = 100
 MAX_MACHINES_PER_PROVISION_CALL = 50
 MAX_CONNECTIONS = 3
@@ -40,6 +47,9 @@
 CALL_RATE_FRACTION = 0.9
 """Fraction of the cloud's limit of calls per second that this client uses."""
 
+NOT_SENT = Reply(503)
+"""Stands for the reply to a call that the guard kept back: like in an outage, nothing was done."""
+
 _machine_type_list_decoder = msgspec.msgpack.Decoder(MachineTypeList)
 _provision_reply_decoder = msgspec.msgpack.Decoder(ProvisionReply)
 _machine_list_decoder = msgspec.msgpack.Decoder(MachineList)
@@ -74,6 +84,11 @@
     body: ProvisionRequest | TerminateRequest | None
     on_reply: Callable[[Reply], None]
 
+    @property
+    def changes_machines(self) -> bool:
+        """Whether the call provisions or terminates machines."""
+        return self.priority is not _Priority.LIST
+
 
 @dataclass(order=True, frozen=True)
 class _QueueEntry:
@@ -84,6 +99,17 @@
     request: _Request = field(compare=False)
 
 
+def _allow_all_changes(on_allowed: Callable[[], None], _on_denied: Callable[[], None]) -> None:
+    on_allowed()
+
+
+@dataclass(eq=False, frozen=True)
+class _Check:
+    """A call for which the guard has not answered yet."""
+
+    entry: _QueueEntry
+
+
 class Cloud:
     """The calls to the cloud.
 
@@ -100,6 +126,10 @@
         self._bucket = TokenBucket(runtime, rps * CALL_RATE_FRACTION, rps)
         self._queue: list[_QueueEntry] = []
         self._sequence_numbers = itertools.count()
+        self._checks: set[_Check] = set()
+        self._sent_count = 0
+        """Number of calls that were sent and have no reply yet."""
+        self._guard: ChangeGuard = _allow_all_changes
         self._is_send_scheduled = False
         self._is_paused = False
         self.last_failure_at = float("-inf")
@@ -182,14 +212,25 @@
 
     # Control of the queue
 
+    def guard_changes(self, guard: ChangeGuard) -> None:
+        """Asks `guard` before each call that changes machines is sent.
+
+        A call that it keeps back has the outcome of one that was not executed.
+        """
+        self._guard = guard
+
     def drop_queued_calls(self) -> None:
         """Drops the queued calls when a term of leadership begins or ends, and ends a pause."""
         self._queue.clear()
+        self._checks.clear()
         self._is_paused = False
 
     def pause_calls(self) -> None:
         """Pauses the sending of calls until `resume`; queued calls keep their order."""
         self._is_paused = True
+        for check in self._checks:
+            heapq.heappush(self._queue, check.entry)
+        self._checks.clear()
 
     def resume(self) -> None:
         """Sends calls again after `pause_calls`."""
@@ -205,24 +246,57 @@
 
     def _send_queued(self) -> None:
         self._is_send_scheduled = False
-        while self._queue and not self._is_paused:
+        # No call waits for a connection behind the guard: it would be sent long after the check.
+        while self._queue and not self._is_paused and self._open_call_count < MAX_CONNECTIONS:
             wait_s = self._bucket.seconds_until_available(1.0)
             if wait_s > 0:
                 self._is_send_scheduled = True
                 self._runtime.after(wait_s, self._send_scheduled)
                 return
             self._bucket.take(1.0)
-            self._send(heapq.heappop(self._queue).request)
+            entry = heapq.heappop(self._queue)
+            if entry.request.changes_machines:
+                self._check(entry)
+            else:
+                self._send(entry.request)
+
+    @property
+    def _open_call_count(self) -> int:
+        return len(self._checks) + self._sent_count
 
     def _send_scheduled(self) -> None:
         if self._is_send_scheduled:
             self._send_queued()
 
+    def _check(self, entry: _QueueEntry) -> None:
+        check = _Check(entry)
+        self._checks.add(check)
+        self._guard(partial(self._on_allowed, check), partial(self._on_denied, check))
+
+    def _on_allowed(self, check: _Check) -> None:
+        if self._end_check(check):
+            self._send(check.entry.request)
+
+    def _on_denied(self, check: _Check) -> None:
+        if self._end_check(check):
+            check.entry.request.on_reply(NOT_SENT)
+            self._send_queued()
+
+    def _end_check(self, check: _Check) -> bool:
+        """Returns False if the call was dropped, or went back to the queue, since the check."""
+        if check not in self._checks:
+            return False
+        self._checks.remove(check)
+        return True
+
     def _send(self, request: _Request) -> None:
         def on_reply(reply: Reply) -> None:
+            self._sent_count -= 1
             self._record_failure(reply)
             request.on_reply(reply)
+            self._send_queued()
 
+        self._sent_count += 1
         self._client.request(request.method, request.path, request.body, self._timeout_s, on_reply)
 
     def _record_failure(self, reply: Reply) -> None:
--- a/flaxtally/cluster/inbound_connection.py
+++ b/flaxtally/cluster/inbound_connection.py
@@ -26,6 +26,9 @@
     def handle_frame(self, sender: str, frame: Frame) -> None:
         """Handles any later frame."""
 
+    def handle_disconnect(self, sender: str) -> None:
+        """Handles the end of a connection, if the peer or the network ended it."""
+
 
 class InboundConnection:
     """Reads the peer's hello, then passes all further frames to the peer's receiver."""
@@ -45,6 +48,11 @@
         """The node name that the peer's hello gives; None before the hello."""
         self._receiver: FrameReceiver | None = None
         stream.on_data = self._on_data
+        stream.on_close = self._on_close
+
+    def _on_close(self) -> None:
+        if self._receiver is not None and self._peer is not None:
+            self._receiver.handle_disconnect(self._peer)
 
     def _on_data(self, data: bytes) -> None:
         try:
--- a/flaxtally/cluster/leader_election.py
+++ b/flaxtally/cluster/leader_election.py
@@ -163,6 +163,14 @@
         peers = self._peers
         return [peer for peer in peers.last_heard_at if peers.is_link_down(peer)]
 
+    @property
+    def is_in_contact_with_all_peers(self) -> bool:
+        """Whether frames are exchanged with every other controller now.
+
+        If so, none of them has taken over: it would be heard. True if there are no others.
+        """
+        return self._peers.is_in_contact_with_all()
+
     @property
     def seconds_since_leader_contact(self) -> float:
         """Seconds since the last heartbeat of the leader of this controller's term.
--- a/flaxtally/cluster/peer_links.py
+++ b/flaxtally/cluster/peer_links.py
@@ -126,6 +126,10 @@
         """Whether the link seems to be dead in at least one direction."""
         return self._liveness.is_link_down(node)
 
+    def is_in_contact_with_all(self) -> bool:
+        """Whether frames pass directly, in both directions, to and from every peer now."""
+        return all(self._liveness.is_in_contact(node) for node in self._links)
+
     def refuses_connections(self, node: str) -> bool:
         """Whether the node's process is probably dead.
 
@@ -220,6 +224,10 @@
         if self._listener.on_hello is not None:
             self._listener.on_hello(hello.node, connection, hello.formats)
 
+    def handle_disconnect(self, sender: str) -> None:
+        """Handles the end of a connection that the peer had dialled."""
+        self._liveness.on_disconnected(sender)
+
     def handle_frame(self, sender: str, frame: Frame) -> None:
         """Handles a later frame of a peer."""
         self._liveness.on_frame(sender)
--- a/flaxtally/cluster/peer_liveness.py
+++ b/flaxtally/cluster/peer_liveness.py
@@ -10,6 +10,13 @@
     from ..runtime.loop import Runtime
 
 
+RECENT_FRAME_FRACTION = 0.5
+"""Fraction of the link timeout within which a frame must have arrived for a link to be in use now.
+
+A peer that lost this controller's frames campaigns after a whole link timeout at the earliest.
+"""
+
+
 class PeerLiveness:
     """State of each direct link: when a frame arrived and when a connection was refused."""
 
@@ -27,6 +34,7 @@
         self.last_heard_at: dict[str, float] = dict.fromkeys(names, float("-inf"))
         """By peer: when a frame last arrived over the direct link."""
         self._refused_at: dict[str, float] = dict.fromkeys(names, float("-inf"))
+        self._disconnected_at: dict[str, float] = dict.fromkeys(names, float("-inf"))
         self._not_receiving: set[str] = set()
         """Peers that report that they receive no frames from this controller."""
 
@@ -45,6 +53,10 @@
         """Records that the peer's address refused a connection."""
         self._refused_at[peer] = self._runtime.now()
 
+    def on_disconnected(self, peer: str) -> None:
+        """Records that a connection which the peer had dialled has ended."""
+        self._disconnected_at[peer] = self._runtime.now()
+
     def on_pause(self, pause_s: float) -> None:
         """Excludes a pause of this process from the time without frames of the peers."""
         now = self._runtime.now()
@@ -75,3 +87,14 @@
         return peer in self._refused_at and (
             self.is_not_receiving(peer) or self.has_refused_since_last_frame(peer)
         )
+
+    def is_in_contact(self, peer: str) -> bool:
+        """Whether frames pass on the direct link in both directions now, with nothing against it.
+
+        The peer can't have lost contact to this controller for long enough to take over unheard.
+        """
+        return (
+            not self.is_link_down(peer)
+            and self.seconds_since_last_frame(peer) < RECENT_FRAME_FRACTION * self.link_timeout_s
+            and self._disconnected_at[peer] <= self.last_heard_at[peer]
+        )
--- a/flaxtally/leader/leader.py
+++ b/flaxtally/leader/leader.py
@@ -18,6 +18,8 @@
 from .term_duties import TermDuties
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..cluster.format_negotiation import FormatNegotiation
     from ..cluster.leader_election import LeaderElection
     from ..ledger.cluster_state import ClusterState
@@ -56,6 +58,7 @@
         self._formats = formats
         self._lending = lending
         self._begin_duties(NO_TERM, {})
+        context.cloud.guard_changes(self._confirm_authority)
         policy = context.policy
         self.every(policy.retry, self._run_periodic_checks)
         self.every(policy.plan_step, self._plan_fleet)
@@ -127,6 +130,11 @@
         if self.term.active:
             self._suspension.handle_higher_token(machine, token)
 
+    def _confirm_authority(
+        self, on_confirmed: Callable[[], None], on_denied: Callable[[], None]
+    ) -> None:
+        self.term.confirm_authority(on_confirmed, on_denied)
+
     def _on_leadership_confirmed(self) -> None:
         self.duties.commands.resume()
         self.term.request_pass()
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -38,6 +38,10 @@
     def may_be_superseded(self) -> bool:
         """Whether another controller may have taken over unnoticed."""
 
+    @property
+    def is_in_contact_with_all_peers(self) -> bool:
+        """Whether frames are exchanged with every other controller now."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class LeaderContext:
@@ -134,6 +138,27 @@
             and not leadership.may_be_superseded
         )
 
+    def confirm_authority(
+        self, on_confirmed: Callable[[], None], on_denied: Callable[[], None]
+    ) -> None:
+        """Calls `on_confirmed` if an act that nothing can fence may be done now, else `on_denied`.
+
+        It may be done if a transaction sent after this call proves leadership. While the key-value
+        store can't be reached, contact with all other controllers serves instead.
+        """
+        if not self.may_act:
+            on_denied()
+            return
+
+        def on_done(is_leader: bool) -> None:
+            is_certain = is_leader or self._leadership.is_in_contact_with_all_peers
+            if is_certain and self.may_act:
+                on_confirmed()
+            else:
+                on_denied()
+
+        self.ledger.confirm_leadership(on_done)
+
 
 class TermActor(Actor):
     """One duty of the leader, for one term."""
--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -10,16 +10,18 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import pytest
 
+from flaxtally.clients.cloud import MAX_CONNECTIONS
+from flaxtally.planning.fleet import Pool
+from flaxtally.planning.provisioning import ProvisionDecision
 from flaxtally.protocol import wire
 from flaxtally.runtime.http import Client
 
 from .scenarios import check_final_state, start_busy_cluster, term, wait_for_leader
-from .simulated_cluster import NODES, spec
+from .simulated_cluster import CLOUD_ADDRESS, NODES, spec
 
 if TYPE_CHECKING:
-    import pytest
-
     from .simulated_cluster import SimulatedCluster
 
 COOL_DOWN_S = 30.0
@@ -153,6 +155,99 @@
     assert term(cluster) == before
 
 
+def request_machines(cluster: SimulatedCluster, node: str, count: int) -> None:
+    """Has the controller's autoscaler request machines in so many calls to the cloud."""
+    scale_out = cluster.nodes[node].leader.duties.autoscaler._scale_out
+    for _ in range(count):
+        scale_out.provision(
+            Pool("c16", "a", spot=False),
+            1,
+            ProvisionDecision(Pool("c16", "a", spot=False), "gate", 1.0, 0.0, 1.0),
+        )
+
+
+def release_machine(cluster: SimulatedCluster, node: str, machine: str) -> None:
+    """Has the controller terminate a machine, as its duties do."""
+    duties = cluster.nodes[node].leader.duties
+    duties.reconciler.scale_in.terminate(duties.term.fleet.machines[machine], "test")
+    duties.reconciler.scale_in.send_terminations()
+
+
+@pytest.mark.parametrize("act", ["release", "rent"])
+def test_leader_changes_no_machine_before_it_notices_that_the_store_refuses_it(act: str) -> None:
+    # A leader counts the store as reachable for two seconds after its last reply. A successor leads
+    # within a tenth of one, so what the former leader decided in between met the successor's work.
+    cluster, spare = start_cluster_with_idle_machines()
+    cluster.run(4)
+    former = wait_for_leader(cluster)
+    cut_off_by_refusals(cluster, former, 30.0)
+    successor = wait_for_successor(cluster, former)
+    requested = count_changes_requested_by(cluster, former)
+    assert cluster.nodes[former].election.is_store_reachable
+    if act == "release":
+        release_machine(cluster, former, spare[0])
+    else:
+        request_machines(cluster, former, 2)
+    start_jobs_on(cluster, spare, successor)
+    assert count_changes_requested_by(cluster, former) == requested
+
+
+def test_calls_to_the_cloud_that_wait_for_their_turn_are_not_sent_for_a_replaced_leader() -> None:
+    # Calls wait for the cloud's rate limit. Those that were queued by the rightful leader were sent
+    # although another one led when their turn came.
+    cluster, _ = start_cluster_with_idle_machines()
+    cluster.run(4)
+    former = wait_for_leader(cluster)
+    request_machines(cluster, former, 12)
+    cut_off_by_refusals(cluster, former, 30.0)
+    wait_for_successor(cluster, former)
+    cluster.run(0.1)
+    requested = count_changes_requested_by(cluster, former)
+    cluster.run(15)
+    assert cluster.nodes[former].election.is_leader
+    assert count_changes_requested_by(cluster, former) == requested
+
+
+def test_calls_to_the_cloud_that_wait_for_a_connection_are_not_sent_for_a_replaced_leader() -> None:
+    # The cloud answers slowly: calls beyond three waited in the HTTP client, where neither a change
+    # of leader nor a pause of the process held them.
+    cluster, _ = start_cluster_with_idle_machines()
+    cluster.run(4)
+    former = wait_for_leader(cluster)
+    cluster.sim.extra_delay_s[frozenset((cluster.ip(former), CLOUD_ADDRESS[0]))] = 1.2
+    request_machines(cluster, former, 8)
+    cluster.run(0.3)
+    in_transit = MAX_CONNECTIONS
+    requested = count_changes_requested_by(cluster, former)
+    cut_off_by_refusals(cluster, former, 30.0)
+    wait_for_successor(cluster, former)
+    cluster.run(15)
+    assert cluster.nodes[former].election.is_leader
+    assert count_changes_requested_by(cluster, former) <= requested + in_transit
+
+
+@pytest.mark.parametrize("fault", ["refused", "silent"])
+def test_contact_with_all_peers_ends_before_one_of_them_takes_over(fault: str) -> None:
+    # Contact with all peers stands in for the state service in an outage. If it outlasted the time
+    # in which a peer may take over, the leader would act beside its successor.
+    cluster, _ = start_cluster_with_idle_machines()
+    former = wait_for_leader(cluster)
+    election = cluster.nodes[former].election
+    assert election.is_in_contact_with_all_peers
+    cluster.refuse(former, 30.0)
+    if fault == "refused":
+        cluster.refuse_peers(former, 30.0)
+    else:
+        others = [cluster.ip(name) for name in NODES if name != former]
+        cluster.cut(cluster.ip(former), others, 30.0)
+    before = term(cluster)
+    while term(cluster) == before:
+        had_contact = election.is_in_contact_with_all_peers
+        cluster.sim.step()
+    assert not had_contact
+    assert not election.is_in_contact_with_all_peers
+
+
 def test_leader_may_not_act_from_the_moment_of_its_step_down_on() -> None:
     # The term ends one turn of the event loop after the step-down. Timers that became due in that
     # turn still rented and released machines for a controller that knew it was replaced.
