A call to the cloud that is not connected yet is given up when the right to act ends

What callers could see: machines rented or given back after a pause of the process, by a controller that may have been replaced.

Cause: the HTTP client keeps a request until its connection is established, and sends it then, also after a pause. The client of the cloud held only its own queue.

Change: when calls are paused or dropped, those that were not passed to the network completely end with status 0, "may have been executed", which their callers repeat under the same name or ask again. Why it holds: a server that never gets the whole request executes nothing; what was passed to the network whole can't be taken back by anybody.

--- a/flaxtally/clients/cloud.py
+++ b/flaxtally/clients/cloud.py
@@ -224,13 +224,18 @@
         self._queue.clear()
         self._checks.clear()
         self._is_paused = False
+        self._client.abort_unsent_calls()
 
     def pause_calls(self) -> None:
-        """Pauses the sending of calls until `resume`; queued calls keep their order."""
+        """Pauses the sending of calls until `resume`; queued calls keep their order.
+
+        A call whose connection is not established yet fails: it must not be sent when it is.
+        """
         self._is_paused = True
         for check in self._checks:
             heapq.heappush(self._queue, check.entry)
         self._checks.clear()
+        self._client.abort_unsent_calls()
 
     def resume(self) -> None:
         """Sends calls again after `pause_calls`."""
--- a/flaxtally/emulator/measured.py
+++ b/flaxtally/emulator/measured.py
@@ -44,6 +44,10 @@
     def on_close(self, listener: Callable[[], None]) -> None:
         self._stream.on_close = listener
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        return self._stream.has_unsent_bytes
+
     def send(self, data: bytes) -> None:
         self._traffic.sent += len(data)
         self._stream.send(data)
--- a/flaxtally/runtime/http.py
+++ b/flaxtally/runtime/http.py
@@ -389,6 +389,19 @@
         for call in calls:
             self._finish(call, Reply(0))
 
+    def abort_unsent_calls(self) -> None:
+        """Ends the calls that were not passed to the network completely; they get status 0.
+
+        No server executes them: it never receives the whole request.
+        """
+        calls = list(self._waiting)
+        self._waiting.clear()
+        for call in calls:
+            self._finish(call, Reply(0))
+        for stream in [stream for stream in self._busy if stream.has_unsent_bytes]:
+            stream.close()
+            self._on_connection_lost(stream)
+
     def _start_waiting_calls(self) -> None:
         while self._waiting and (self._idle_streams or len(self._busy) < self._max_connections):
             call = self._waiting.popleft()
--- a/flaxtally/runtime/loop.py
+++ b/flaxtally/runtime/loop.py
@@ -76,6 +76,10 @@
     far: str
     """The host at the other end."""
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether it is not open yet, or keeps bytes that the network has not taken."""
+
     def send(self, data: bytes) -> None: ...
 
     def close(self) -> None: ...
@@ -125,6 +129,11 @@
         self._events = selectors.EVENT_READ if is_connected else selectors.EVENT_WRITE
         loop.selector.register(sock, self._events, self._on_ready)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether it is not open yet, or keeps bytes that the network has not taken."""
+        return not self._is_open or bool(self._unsent)
+
     def send(self, data: bytes) -> None:
         if self._events == 0:
             return
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -38,6 +38,10 @@
         self.on_data: Callable[[bytes], None] = ignore
         self.on_close: Callable[[], None] = ignore
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        return not self.opened
+
     def send(self, data: bytes) -> None:
         if self.is_closed:
             return
--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -226,6 +226,23 @@
     assert count_changes_requested_by(cluster, former) <= requested + in_transit
 
 
+def test_call_to_the_cloud_that_is_not_connected_yet_is_not_sent_after_a_pause() -> None:
+    # A connection that was being established when the process was paused is established when it
+    # continues. The call was then sent, although another controller may lead by now.
+    cluster, _ = start_cluster_with_idle_machines()
+    cluster.run(4)
+    leader = wait_for_leader(cluster)
+    client = cluster.nodes[leader].leader._context.cloud._client
+    client.close()
+    requested = count_changes_requested_by(cluster, leader)
+    request_machines(cluster, leader, 1)
+    assert cluster.run_until(lambda: client.is_busy, 1)
+    cluster.refuse(leader, 20.0)
+    cluster.nodes[leader].leader.on_pause(8.0)
+    cluster.run(10)
+    assert count_changes_requested_by(cluster, leader) == requested
+
+
 @pytest.mark.parametrize("fault", ["refused", "silent"])
 def test_contact_with_all_peers_ends_before_one_of_them_takes_over(fault: str) -> None:
     # Contact with all peers stands in for the state service in an outage. If it outlasted the time
