A controller that steps down goes on replying to its workers

What callers saw: a worker that reported in the few milliseconds between a controller's step-down and its reading of the leader key got 503 and went on to other controllers. Where these are beyond a cut, that takes longer than a lease, and its tasks end.

Cause: `seconds_since_leader_contact` of a leader is its contact with the state service; at the step-down it fell back to the last heartbeat that the controller had received as a follower.

Change: the step-down takes the leader's contact over. Why it holds: the controller was in touch with the leader, itself, until then; from there on the same bound (`unattended`) counts.

Measured: test_controller_that_steps_down_goes_on_replying_to_its_workers got 503 before, 200 now.

--- a/flaxtally/cluster/leader_election.py
+++ b/flaxtally/cluster/leader_election.py
@@ -283,6 +283,9 @@
     def step_down(self, reason: TransitionReason = TransitionReason.GUARDED_WRITE_FAILED) -> None:
         """Stops leading, and reads the leader key to find the new leader."""
         if self.is_leader:
+            self._observation.last_heartbeat_at = (
+                self.runtime.now() - self.seconds_since_leader_contact
+            )
             self._state.step_down(reason)
             self._lease.end_term()
             self._listener.on_step_down()
--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -274,3 +274,19 @@
     leader.election.step_down()
     assert leader.leader.term.active
     assert not leader.leader.term.may_act
+
+
+def test_controller_that_steps_down_goes_on_replying_to_its_workers() -> None:
+    # Until it had read who leads, a former leader counted as out of touch with any leader for ever,
+    # and replied 503. A worker whose other controllers were beyond a cut lost its lease over that.
+    cluster, spare = start_cluster_with_idle_machines()
+    former = wait_for_leader(cluster)
+    worker = cluster.workers[spare[0]]
+    cluster.refuse(former, 5.0)
+    cluster.nodes[former].election.step_down()
+    statuses: list[int] = []
+    Client(cluster.user, (cluster.ip(former), 8080)).request(
+        "POST", wire.HEARTBEAT, worker.report(), 4.0, lambda reply: statuses.append(reply.status)
+    )
+    assert cluster.run_until(lambda: bool(statuses), 1)
+    assert statuses == [200]
