Stops that no record commands are confirmed before they are sent

What callers could see: a running replica or task stopped by a leader that had been replaced, on a machine that had not heard of the successor. Shown in simulation; found by going through the acts that no machine can fence.

Cause: moves, preemptions, recalls, stops of gangs, of stragglers and for spot notices were decided by the age of the last contact, those that start from a heartbeat without any check, and sent whoever led by then.

Change: `CommandSender.stop_task` confirms leadership before it sends, as calls to the cloud do, unless the job's cancellation is committed. The stops of one turn of the event loop share a confirmation. What is not confirmed is withdrawn: the task does not count as stopping. `authority_denied` logs a call or stops that were not sent. Why it holds: as for the calls to the cloud. Launches and stops of cancelled tasks need none: their record was committed under the guard of the leader key. Stops of unknown tasks neither: the machine's report carries the leader's own token, so no successor has commanded it.

--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import msgspec
 
 from ..lending.entitlement import NO_RESOURCES, Amounts, compute_amounts
 from ..protocol import workers
+from ..protocol.vocabulary import FLUSHING
 from ..protocol.workers import Command, CommandBatch, Heartbeat
 from .term import Term, TermActor
 
@@ -62,7 +64,7 @@
     """A command to be sent at the end of this iteration of the event loop."""
 
     command: Command
-    launched: Placement | None
+    launched: Placement | None = None
     """The placement that the command launches; None if it is no launch command."""
 
     @property
@@ -74,8 +76,28 @@
         )
 
 
+class _UnconfirmedStop(NamedTuple):
+    """A stop command that is sent once leadership is confirmed."""
+
+    placement: Placement
+    grace_s: float
+    is_first: bool
+    """Whether the task did not count as stopping before."""
+
+    @property
+    def is_obsolete(self) -> bool:
+        """Whether the attempt was proven finished while the stop was not confirmed."""
+        placement = self.placement
+        return placement.job.placements.get(placement.task) is not placement
+
+
 class CommandSender(TermActor):
-    """Queues and sends commands, and tracks which launch commands may still arrive."""
+    """Queues and sends commands, and tracks which launch commands may still arrive.
+
+    A machine refuses the commands of a former leader only after it has heard of the successor.
+    Launches, and stops of cancelled tasks, carry out what is committed, whoever sends them. All
+    other stops are decisions of the leader alone: leadership is confirmed before they are sent.
+    """
 
     def __init__(
         self,
@@ -94,20 +116,27 @@
         """The resources, by team, of stopping tasks that are not proven finished."""
         self._outbox: dict[str, list[_QueuedCommand]] = {}
         """The commands to be sent, by machine."""
+        self._unconfirmed_stops: list[_UnconfirmedStop] = []
+        """The stops whose confirmation is to be requested."""
 
     # Commands
 
-    def enqueue(self, machine: Machine, command: Command, launched: Placement | None) -> None:
+    def enqueue(
+        self, machine: Machine, command: Command, launched: Placement | None = None
+    ) -> None:
         """Queues a command, to be sent with the others of this iteration of the event loop.
 
         `launched`: the placement that the command launches, if it is a launch command.
         """
-        if not self._outbox:
-            self.runtime.soon(self._send_queued)
+        self._schedule_sending()
         # The machine's next heartbeat shows whether the command was executed.
         machine.converged_tasks = None
         self._outbox.setdefault(machine.name, []).append(_QueuedCommand(command, launched))
 
+    def _schedule_sending(self) -> None:
+        if not self._outbox and not self._unconfirmed_stops:
+            self.runtime.soon(self._send_queued)
+
     def launch_task(self, placement: Placement) -> None:
         """Commands the placement's machine to start the task."""
         machine = self.fleet.machines.get(placement.machine)
@@ -117,13 +146,27 @@
         self.enqueue(machine, workers.launch(placement.name, placement.attempt), placement)
 
     def stop_task(self, placement: Placement, grace_s: float) -> None:
-        """Commands the placement's machine to stop the task, with time to save a checkpoint."""
-        machine = self.fleet.machines.get(placement.machine)
-        if machine is None:
+        """Commands the placement's machine to stop the task, with time to save a checkpoint.
+
+        Unless the job's cancellation is committed, the command is sent only once leadership is
+        confirmed. If it isn't, the task does not count as stopping any more.
+        """
+        if placement.machine not in self.fleet.machines:
             return
         placement.command_sent_at = self.runtime.now()
+        stop = _UnconfirmedStop(placement, grace_s, is_first=placement.stopping_at is None)
         self.mark_stopping(placement)
-        self.enqueue(machine, workers.stop(placement.name, placement.attempt, grace_s), None)
+        if placement.job.is_cancellation_committed:
+            self._enqueue_stop(stop)
+        else:
+            self._schedule_sending()
+            self._unconfirmed_stops.append(stop)
+
+    def _enqueue_stop(self, stop: _UnconfirmedStop) -> None:
+        placement = stop.placement
+        machine = self.fleet.machines.get(placement.machine)
+        if machine is not None:
+            self.enqueue(machine, workers.stop(placement.name, placement.attempt, stop.grace_s))
 
     def stop_best_effort(self, machine: Machine) -> None:
         """Stops the machine's best-effort tasks that write checkpoints; the others may finish."""
@@ -174,12 +217,13 @@
 
     def resume(self) -> None:
         """Sends the commands queued during a pause, once leadership is confirmed."""
-        if self._outbox:
+        if self._outbox or self._unconfirmed_stops:
             self._send_queued()
 
     def _send_queued(self) -> None:
         if self.term.is_suspended:
             return
+        self._confirm_stops()
         outbox = self._outbox
         self._outbox = {}
         for name, queued in outbox.items():
@@ -192,6 +236,26 @@
                     [queued_command for queued_command in queued if not queued_command.is_obsolete],
                 )
 
+    def _confirm_stops(self) -> None:
+        stops = self._unconfirmed_stops
+        self._unconfirmed_stops = []
+        if stops:
+            self.term.confirm_authority(
+                partial(self._send_stops, stops), partial(self._withdraw_stops, stops)
+            )
+
+    def _send_stops(self, stops: list[_UnconfirmedStop]) -> None:
+        for stop in stops:
+            if not stop.is_obsolete:
+                self._enqueue_stop(stop)
+
+    def _withdraw_stops(self, stops: list[_UnconfirmedStop]) -> None:
+        """Forgets stops that this controller may not be entitled to send: nothing was sent."""
+        for stop in stops:
+            if stop.is_first and not stop.is_obsolete and stop.placement.state != FLUSHING:
+                self.unmark_stopping(stop.placement)
+                stop.placement.stopping_at = None
+
     def _send_in_batches(self, machine: Machine, queued: list[_QueuedCommand]) -> None:
         for start in range(0, len(queued), MAX_BATCH_COMMANDS):
             batch = queued[start : start + MAX_BATCH_COMMANDS]
--- a/flaxtally/leader/reconciliation/orphans.py
+++ b/flaxtally/leader/reconciliation/orphans.py
@@ -39,7 +39,7 @@
         if task.state != wire.EXITED:
             self._stop_orphan(machine, task)
         elif self._can_forget(machine, task):
-            self._commands.enqueue(machine, wire.forget(task.task, task.attempt), None)
+            self._commands.enqueue(machine, wire.forget(task.task, task.attempt))
 
     def _stop_orphan(self, machine: Machine, task: wire.TaskStatus) -> None:
         log.warning(
@@ -49,7 +49,7 @@
             task.attempt,
             machine.name,
         )
-        self._commands.enqueue(machine, wire.stop(task.task, task.attempt, 0.0), None)
+        self._commands.enqueue(machine, wire.stop(task.task, task.attempt, 0.0))
 
     def _can_forget(self, machine: Machine, task: wire.TaskStatus) -> bool:
         """Whether no copy of the launch command can still arrive: it would start the task again.
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -23,6 +24,9 @@
     from .team_limits import TeamLimits
 
 
+log = logging.getLogger(__name__)
+
+
 class Leadership(Protocol):
     """What the leader election knows about this controller's leadership."""
 
@@ -146,18 +150,19 @@
         It may be done if a transaction sent after this call proves leadership. While the key-value
         store can't be reached, contact with all other controllers serves instead.
         """
-        if not self.may_act:
-            on_denied()
-            return
 
         def on_done(is_leader: bool) -> None:
             is_certain = is_leader or self._leadership.is_in_contact_with_all_peers
             if is_certain and self.may_act:
                 on_confirmed()
-            else:
-                on_denied()
+                return
+            log.info("event=authority_denied term=%d", self.number)
+            on_denied()
 
-        self.ledger.confirm_leadership(on_done)
+        if self.may_act:
+            self.ledger.confirm_leadership(on_done)
+        else:
+            on_denied()
 
 
 class TermActor(Actor):
--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -7,21 +7,28 @@
 from __future__ import annotations
 
 import logging
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
 import pytest
 
 from flaxtally.clients.cloud import MAX_CONNECTIONS
+from flaxtally.leader.autoscaling import replica_moves
 from flaxtally.planning.fleet import Pool
+from flaxtally.planning.machine_index import MachineIndex
 from flaxtally.planning.provisioning import ProvisionDecision
 from flaxtally.protocol import wire
 from flaxtally.runtime.http import Client
 
 from .scenarios import check_final_state, start_busy_cluster, term, wait_for_leader
-from .simulated_cluster import CLOUD_ADDRESS, NODES, spec
+from .simulated_cluster import CLOUD_ADDRESS, NODES, batch, spec
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from flaxtally.ledger.placement import Placement
+
     from .simulated_cluster import SimulatedCluster
 
 COOL_DOWN_S = 30.0
@@ -243,6 +250,87 @@
     assert count_changes_requested_by(cluster, leader) == requested
 
 
+def preempt(cluster: SimulatedCluster, node: str, task: str) -> None:
+    """Has the controller preempt a running task."""
+    duties = cluster.nodes[node].leader.duties
+    duties.scheduler.preemption._stop([find_placement(cluster, node, task)])
+
+
+def move(cluster: SimulatedCluster, node: str, task: str) -> None:
+    """Has the controller move a replica off its machine, to any other machine."""
+    duties = cluster.nodes[node].leader.duties
+    machine = duties.term.fleet.machines[cluster.find_machine(task)]
+    target = next(each for each in duties.term.fleet.machines.values() if each is not machine)
+    index = MachineIndex.of([target], duties.term.machine_types, random.Random(1))
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(replica_moves, "find_target", lambda *_: target)
+        duties.consolidation._moves._move_next_replica(machine, index, cluster.sim.time)
+
+
+def heed_preemption_notice(cluster: SimulatedCluster, node: str, task: str) -> None:
+    """Has the controller handle the cloud's notice for the task's machine."""
+    duties = cluster.nodes[node].leader.duties
+    notices = duties.heartbeat_handler._preemption_notices
+    notices.handle_notice(duties.term.fleet.machines[cluster.find_machine(task)], 2.0)
+
+
+def find_placement(cluster: SimulatedCluster, node: str, task: str) -> Placement:
+    ref, _, number = task.partition("/")
+    job = cluster.nodes[node].leader.state.jobs_by_ref[ref]
+    return job.placements[int(number)]
+
+
+@pytest.mark.parametrize(
+    ("act", "task"),
+    [(preempt, "j-000200/0"), (move, "j-000000/0"), (heed_preemption_notice, "j-000200/0")],
+)
+def test_leader_stops_no_task_that_its_successor_took_over(
+    act: Callable[[SimulatedCluster, str, str], None], task: str
+) -> None:
+    # A machine that has not heard of the successor obeys the former leader. Here only that one
+    # reaches it: a replica that the successor counts on would end.
+    cluster, _ = start_cluster_with_idle_machines()
+    cluster.submit(batch("j-000200", 1, checkpoint_interval_s=2.0), run_time=100.0)
+    assert cluster.run_until(lambda: "j-000200/0" in cluster.running, 40)
+    cluster.run(4)
+    former = wait_for_leader(cluster)
+    others = [cluster.ip(name) for name in NODES if name != former]
+    for worker in cluster.workers.values():
+        cluster.cut(worker._address[0], others, 30.0)
+    cut_off_by_refusals(cluster, former, 30.0)
+    wait_for_successor(cluster, former)
+    cluster.run(1.2)
+    # It sends commands directly by now, and still counts the store as reachable.
+    assert cluster.nodes[former].leader.term.may_act
+    running = dict(cluster.running)
+    act(cluster, former, task)
+    stopping = [
+        placed
+        for job in cluster.nodes[former].leader.state.jobs.values()
+        for placed in job.placements.values()
+        if placed.stopping_at is not None
+    ]
+    assert stopping, "the former leader decided to stop a task"
+    cluster.run(4)
+    assert cluster.nodes[former].election.is_leader
+    assert cluster.running == running, cluster.trace[-5:]
+    assert all(placed.stopping_at is None for placed in stopping)
+
+
+def test_confirmed_stops_reach_their_machine() -> None:
+    # The other side: what the rightful leader decides is done at once, also in an outage in which
+    # it is in contact with all peers.
+    cluster = start_busy_cluster(services=2, arrays=1, run_time=100.0)
+    leader = wait_for_leader(cluster)
+    preempt(cluster, leader, "j-000100/0")
+    assert cluster.run_until(lambda: "j-000100/0" not in cluster.running, 0.1)
+    assert cluster.run_until(lambda: "j-000100/0" in cluster.running, 15)
+    cluster.start_state_outage(20.0)
+    cluster.run(3)
+    preempt(cluster, leader, "j-000100/1")
+    assert cluster.run_until(lambda: "j-000100/1" not in cluster.running, 0.1)
+
+
 @pytest.mark.parametrize("fault", ["refused", "silent"])
 def test_contact_with_all_peers_ends_before_one_of_them_takes_over(fault: str) -> None:
     # Contact with all peers stands in for the state service in an outage. If it outlasted the time
