A leader alone in an outage goes on replying to its workers

What callers saw: where the leader's peers are dead and the state service is down for all, every task ended about four leases into the outage, although its machine and the leader were well.

Cause: a controller that is out of touch with its leader for `unattended` (three leases) answers 503, so that workers look for another. The leader counted as out of touch with itself while it did not reach the state service.

Change: a leader is in touch with itself for as long as it leads. Why it holds: a worker that a successor has commanded carries a higher token and is turned away, as before; no rule hangs on leases; what a successor takes for silent it releases, which is proof.

--- a/flaxtally/cluster/leader_election.py
+++ b/flaxtally/cluster/leader_election.py
@@ -175,10 +175,10 @@
     def seconds_since_leader_contact(self) -> float:
         """Seconds since the last heartbeat of the leader of this controller's term.
 
-        For the leader itself: seconds by which its contact with the store is overdue.
+        0 for the leader itself: it is in touch with its leader for as long as it leads.
         """
         if self.is_leader:
-            return max(0.0, self.runtime.now() - self._store.last_contact_at - self._policy.probe)
+            return 0.0
         return self.runtime.now() - self._observation.last_heartbeat_at
 
     @property
@@ -283,9 +283,7 @@
     def step_down(self, reason: TransitionReason = TransitionReason.GUARDED_WRITE_FAILED) -> None:
         """Stops leading, and reads the leader key to find the new leader."""
         if self.is_leader:
-            self._observation.last_heartbeat_at = (
-                self.runtime.now() - self.seconds_since_leader_contact
-            )
+            self._observation.last_heartbeat_at = self.runtime.now()
             self._state.step_down(reason)
             self._lease.end_term()
             self._listener.on_step_down()
--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -97,6 +97,32 @@
     check_final_state(cluster, 40)
 
 
+def test_leader_alone_in_an_outage_keeps_its_workers_and_goes_on_afterwards() -> None:
+    # The other side: the peers are dead and the state service is down for all. The leader can't
+    # tell this from a filter, so it changes no machine; but it must keep its workers' leases, and
+    # serve again as soon as the state service does. After three leases it sent its workers away,
+    # and all tasks ended, although there was nobody else to go to.
+    cluster, spare = start_cluster_with_idle_machines()
+    cluster.run(4)
+    leader, before = wait_for_leader(cluster), term(cluster)
+    for name in NODES:
+        if name != leader:
+            cluster.crash(name)
+    cluster.run(6)
+    running = dict(cluster.running)
+    cluster.start_state_outage(2 * COOL_DOWN_S)
+    cluster.run(2 * COOL_DOWN_S)
+    assert cluster.running == running, cluster.trace[-20:]
+    assert set(spare) <= set(cluster.workers)
+    cluster.submit(spec("j-000500", tasks=2), node=NODES.index(leader))
+    assert cluster.run_until(lambda: cluster.count("j-000500") == 2, 15), cluster.trace[-20:]
+    assert (cluster.leader(), term(cluster)) == (leader, before)
+    # What waited for the state service is done now: idle machines go back.
+    assert cluster.run_until(lambda: not set(spare) <= set(cluster.workers), COOL_DOWN_S), (
+        cluster.cloud.change_requests
+    )
+
+
 def test_leader_whose_peers_are_connected_goes_on_in_an_outage() -> None:
     # Peers that exchange frames with the leader can't replace it unheard. It goes on managing the
     # machines while the state service is down: an idle one is terminated.
