In an outage, controllers tell each other whether the state service is down for all

What callers could see: acts of a former leader once more, in a rarer order of events: its comparison of the leader key fails because another leads, and it releases or stops all the same.

Cause: where the state service could not confirm leadership, contact with all peers stood in for it. That was asked also when the comparison had just *failed*, before the step-down; contact counted from when frames were read, which a pause of the process (under a second, so not treated as one) makes arbitrarily late; and a peer that hears a leader without the state service may take over all the same.

Change: heartbeats carry `store` (does the sender reach the state service), `at` and `echo` (when the frame was sent, and the newest `at` received, in the other's clock). What stands in is the word of every other controller that it can't reach the state service either, counted by the age of the frame that the word answers. Who gave it doesn't campaign for as long. A controller that was started in the outage gives no word. The step-down comes before a failed confirmation is answered, and a confirmation that a pause of over a heartbeat fell into is asked again. Older versions ignore the new keys and give no word: during an upgrade a leader in an outage changes no machines.

--- a/flaxtally/cluster/candidacy.py
+++ b/flaxtally/cluster/candidacy.py
@@ -75,6 +75,7 @@
         self._on_won = on_won
         self._refresh_leader_key = refresh_leader_key
         self._started_at = runtime.now()
+        self._store_reported_down_at = float("-inf")
         self._is_campaign_pending = False
         """Whether a campaign waits for its delay to end, or for the reply to its write."""
         self._is_checking_lease = False
@@ -95,6 +96,24 @@
         """Prevents all further campaigns of this controller."""
         self._is_ineligible = True
 
+    def on_store_reported_down(self) -> None:
+        """Records that the peers were just told that this controller can't reach the store."""
+        self._store_reported_down_at = self.runtime.now()
+
+    def may_leader_rely_on_outage(self) -> bool:
+        """Whether the leader may still take the store for down because this controller said so.
+
+        See `LeaderElection.is_store_down_for_all`. A leader that is not heard has sent nothing
+        recently that this controller could have replied to.
+        """
+        leader = self._state.leader
+        since_report_s = self.runtime.now() - self._store_reported_down_at
+        return (
+            leader is not None
+            and self._peers.is_directly_reachable(leader)
+            and since_report_s < self._peers.max_echo_age_s
+        )
+
     def evaluate(self) -> None:
         """Campaigns if neither this controller nor a peer that it reaches can see a leader."""
         if (
@@ -113,7 +132,8 @@
         elif self._leader_key.names_earlier_incarnation:
             self._schedule_campaign(0.0, TransitionReason.OWN_EARLIER_INCARNATION)
         elif self._is_leader_unreachable():
-            self._evaluate_takeover()
+            if not self.may_leader_rely_on_outage():
+                self._evaluate_takeover()
         else:
             self._observation.unreachable_since = None
 
--- a/flaxtally/cluster/leader_election.py
+++ b/flaxtally/cluster/leader_election.py
@@ -164,12 +164,17 @@
         return [peer for peer in peers.last_heard_at if peers.is_link_down(peer)]
 
     @property
-    def is_in_contact_with_all_peers(self) -> bool:
-        """Whether frames are exchanged with every other controller now.
+    def is_store_down_for_all(self) -> bool:
+        """Whether every other controller has just said that it can't reach the store either.
 
-        If so, none of them has taken over: it would be heard. True if there are no others.
+        Then nobody can have taken over: that takes a write to the store, and a controller that had
+        seen one would say so. A controller by itself can't tell an outage from a refusal of its own
+        calls. True if there are no others.
         """
-        return self._peers.is_in_contact_with_all()
+        return all(
+            self._peers.is_in_contact(peer) and self._observation.is_store_down_for(peer)
+            for peer in self._peers.last_heard_at
+        )
 
     @property
     def seconds_since_leader_contact(self) -> float:
@@ -223,10 +228,22 @@
             can_see_leader=self._observation.can_see_leader(),
             live_members=self.live_members if self.is_leader else [],
             formats=list(formats.SUPPORTED),
+            can_reach_store=self._assess_store(),
         )
         self._peers.broadcast(to_frame(heartbeat))
+        if heartbeat.can_reach_store is False:
+            self._candidacy.on_store_reported_down()
         self._candidacy.evaluate()
 
+    def _assess_store(self) -> bool | None:
+        """Returns whether the key-value store can be reached; None if it never was.
+
+        A process that was started in an outage can't tell what happened before the outage.
+        """
+        if self.is_store_reachable:
+            return True
+        return None if self._store.last_contact_at == float("-inf") else False
+
     def _list_reachable_members(self) -> list[str]:
         peers = self._peers
         reachable = [peer for peer in peers.last_heard_at if peers.is_reachable(peer)]
@@ -329,6 +346,8 @@
     def _on_leader_record(self, record: LeaderRecord, key_version: int) -> None:
         is_own = record.incarnation_id == self._incarnation_id
         if is_own and record.term > self._state.last_led_term:
+            if self._candidacy.may_leader_rely_on_outage():
+                return  # the key is read again soon
             # Our own takeover was committed, although the reply was lost.
             self._become_leader(record.term, key_version, TransitionReason.CAMPAIGN_FOUND_WON)
             return
--- a/flaxtally/cluster/leader_observation.py
+++ b/flaxtally/cluster/leader_observation.py
@@ -30,6 +30,8 @@
         """When this controller last learned that the previous leader had been replaced."""
         self._can_peer_see_leader: dict[str, bool] = {}
         """By peer: whether its last heartbeat said that it can see the leader of our term."""
+        self._can_peer_reach_store: dict[str, bool | None] = {}
+        """By peer: whether its last heartbeat said that it can reach the key-value store."""
 
     def can_see_leader(self) -> bool:
         """Whether this controller is, or can reach, a leader that can commit."""
@@ -65,6 +67,11 @@
         """Records whether a peer sees the leader of this controller's term."""
         is_of_our_term = heartbeat.term == self._state.term
         self._can_peer_see_leader[peer] = heartbeat.can_see_leader and is_of_our_term
+        self._can_peer_reach_store[peer] = heartbeat.can_reach_store
+
+    def is_store_down_for(self, peer: str) -> bool:
+        """Whether the peer's last heartbeat said that it can't reach the key-value store either."""
+        return self._can_peer_reach_store.get(peer) is False
 
     def is_seen_by_any(self, peers: Iterable[str]) -> bool:
         """Whether the last heartbeat of any of the peers said that it can see the leader."""
--- a/flaxtally/cluster/messages.py
+++ b/flaxtally/cluster/messages.py
@@ -5,8 +5,10 @@
 since controllers of different versions communicate with each other; keys that this version does not
 know are ignored.
 
-The links add the key `hears` to the frames that they broadcast: whether the sender receives frames
-from the receiver. It belongs to the link, not to the message.
+The links add three keys to the frames that they broadcast. They belong to the link, not to the
+message: `hears` (whether the sender receives frames from the receiver), `at` (when the frame was
+sent, by the sender's clock) and `echo` (the `at` of the newest frame that the sender received from
+the receiver).
 """
 
 from __future__ import annotations
@@ -55,6 +57,7 @@
         "is_ready": "ready",
         "can_see_leader": "sees",
         "live_members": "view",
+        "can_reach_store": "store",
     },
 ):
     """The term, the leader and the membership that the sender knows of."""
@@ -73,6 +76,11 @@
     """The controllers that the leader can reach; empty in the heartbeats of others."""
     formats: Any = None
     """The formats that the sender reads; `protocol.formats.parse_range` validates the value."""
+    can_reach_store: bool | None = None
+    """Whether the key-value store served the sender recently.
+
+    None if it never did since the sender was started, and in the heartbeats of older versions.
+    """
 
 
 class ForwardedHeartbeat(
--- a/flaxtally/cluster/peer_links.py
+++ b/flaxtally/cluster/peer_links.py
@@ -126,9 +126,14 @@
         """Whether the link seems to be dead in at least one direction."""
         return self._liveness.is_link_down(node)
 
-    def is_in_contact_with_all(self) -> bool:
-        """Whether frames pass directly, in both directions, to and from every peer now."""
-        return all(self._liveness.is_in_contact(node) for node in self._links)
+    @property
+    def max_echo_age_s(self) -> float:
+        """The age of a frame up to which a peer's reply to it still counts."""
+        return self._liveness.max_echo_age_s
+
+    def is_in_contact(self, node: str) -> bool:
+        """Whether the node echoes, over the direct link, a frame that was sent to it recently."""
+        return self._liveness.is_in_contact(node)
 
     def refuses_connections(self, node: str) -> bool:
         """Whether the node's process is probably dead.
@@ -144,9 +149,15 @@
     # Sending
 
     def broadcast(self, frame: Frame) -> None:
-        """Sends the frame to every peer, adding whether this controller receives its frames."""
+        """Sends the frame to every peer, adding the state of the link in both directions."""
+        now = self.runtime.now()
         for node in self._links:
-            self.send(node, frame | {"hears": self.is_directly_reachable(node)})
+            link_state = {
+                "hears": self.is_directly_reachable(node),
+                "at": now,
+                "echo": self._liveness.get_stamp_to_echo(node),
+            }
+            self.send(node, frame | link_state)
 
     def send(self, node: str, frame: Frame) -> None:
         """Sends the frame if the link is up or can be dialled; delivery is not guaranteed."""
@@ -233,6 +244,8 @@
         self._liveness.on_frame(sender)
         if "hears" in frame:
             self._liveness.on_receipt_report(sender, is_receiving=frame["hears"] is not False)
+            self._liveness.on_stamp(sender, frame.get("at"))
+            self._liveness.on_echo(sender, frame.get("echo"))
         try:
             self._listener.on_frame(sender, frame)
         except Exception:
--- a/flaxtally/cluster/peer_liveness.py
+++ b/flaxtally/cluster/peer_liveness.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -10,10 +10,10 @@
     from ..runtime.loop import Runtime
 
 
-RECENT_FRAME_FRACTION = 0.5
-"""Fraction of the link timeout within which a frame must have arrived for a link to be in use now.
+ECHO_AGE_FRACTION = 0.8
+"""Fraction of the link timeout within which a frame must have been sent that a peer echoes.
 
-A peer that lost this controller's frames campaigns after a whole link timeout at the earliest.
+A peer campaigns a whole link timeout after the last frame that it received, at the earliest.
 """
 
 
@@ -35,6 +35,10 @@
         """By peer: when a frame last arrived over the direct link."""
         self._refused_at: dict[str, float] = dict.fromkeys(names, float("-inf"))
         self._disconnected_at: dict[str, float] = dict.fromkeys(names, float("-inf"))
+        self._stamps: dict[str, float] = {}
+        """By peer: when it sent its newest frame, by its own clock."""
+        self._echoed_at: dict[str, float] = dict.fromkeys(names, float("-inf"))
+        """By peer: when this controller sent the newest frame that the peer says it received."""
         self._not_receiving: set[str] = set()
         """Peers that report that they receive no frames from this controller."""
 
@@ -49,6 +53,20 @@
         else:
             self._not_receiving.add(peer)
 
+    def on_stamp(self, peer: str, stamp: Any) -> None:
+        """Records when the peer sent a frame, by its clock; ignores what is not a time."""
+        if isinstance(stamp, float):
+            self._stamps[peer] = stamp
+
+    def on_echo(self, peer: str, echo: Any) -> None:
+        """Records the stamp that the peer echoes: it has received the frame sent then."""
+        if isinstance(echo, float) and echo <= self._runtime.now():
+            self._echoed_at[peer] = max(echo, self._echoed_at[peer])
+
+    def get_stamp_to_echo(self, peer: str) -> float | None:
+        """Returns the stamp of the peer's newest frame; None if none arrived."""
+        return self._stamps.get(peer)
+
     def on_refused(self, peer: str) -> None:
         """Records that the peer's address refused a connection."""
         self._refused_at[peer] = self._runtime.now()
@@ -88,13 +106,19 @@
             self.is_not_receiving(peer) or self.has_refused_since_last_frame(peer)
         )
 
+    @property
+    def max_echo_age_s(self) -> float:
+        """The age of a frame up to which a peer's reply to it still counts."""
+        return ECHO_AGE_FRACTION * self.link_timeout_s
+
     def is_in_contact(self, peer: str) -> bool:
-        """Whether frames pass on the direct link in both directions now, with nothing against it.
+        """Whether the peer received a frame that was sent recently, and its reply arrived.
 
-        The peer can't have lost contact to this controller for long enough to take over unheard.
+        It is the age of this controller's own frame that counts: a reply may have been delayed, by
+        the network or by a pause of this process, and then says nothing of the time since.
         """
         return (
-            not self.is_link_down(peer)
-            and self.seconds_since_last_frame(peer) < RECENT_FRAME_FRACTION * self.link_timeout_s
+            self._runtime.now() - self._echoed_at[peer] < self.max_echo_age_s
+            and not self.is_link_down(peer)
             and self._disconnected_at[peer] <= self.last_heard_at[peer]
         )
--- a/flaxtally/leader/leader.py
+++ b/flaxtally/leader/leader.py
@@ -59,6 +59,7 @@
         self._lending = lending
         self._begin_duties(NO_TERM, {})
         context.cloud.guard_changes(self._confirm_authority)
+        self.runtime.on_pause(context.policy.heartbeat, self._on_short_pause)
         policy = context.policy
         self.every(policy.retry, self._run_periodic_checks)
         self.every(policy.plan_step, self._plan_fleet)
@@ -125,6 +126,9 @@
         self.duties.on_pause(pause_s)
         self._suspension.handle_pause()
 
+    def _on_short_pause(self, _pause_s: float) -> None:
+        self.term.short_pause_count += 1
+
     def handle_higher_token(self, machine: str, token: int) -> None:
         """Suspends the term: a machine reports a fencing token above the term's."""
         if self.term.active:
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -43,8 +43,8 @@
         """Whether another controller may have taken over unnoticed."""
 
     @property
-    def is_in_contact_with_all_peers(self) -> bool:
-        """Whether frames are exchanged with every other controller now."""
+    def is_store_down_for_all(self) -> bool:
+        """Whether every other controller has just said that it can't reach the store either."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -99,6 +99,9 @@
         """Whether leadership is in doubt and has not been confirmed since: see `Suspension`."""
         self.pause_count = 0
         """How often the process was paused: a timeout during a pause proves nothing."""
+        self.short_pause_count = 0
+        """How often the process was paused, pauses included that are too short to suspend it."""
+        self._was_authority_denied = False
         self.began_at = context.runtime.now()
         self.fleet = Fleet(context.runtime, context.ledger, context.settings.zones)
         self.pass_requests = PassRequests()
@@ -147,23 +150,34 @@
     ) -> None:
         """Calls `on_confirmed` if an act that nothing can fence may be done now, else `on_denied`.
 
-        It may be done if a transaction sent after this call proves leadership. While the key-value
-        store can't be reached, contact with all other controllers serves instead.
+        It may be done if a transaction sent after this call proves leadership, and the process was
+        not paused since. If the key-value store can't be reached, it may be done if it is down for
+        all controllers.
         """
+        short_pause_count = self.short_pause_count
 
         def on_done(is_leader: bool) -> None:
-            is_certain = is_leader or self._leadership.is_in_contact_with_all_peers
-            if is_certain and self.may_act:
+            if short_pause_count != self.short_pause_count:
+                # The reply may have waited in the socket while another controller took over.
+                self.confirm_authority(on_confirmed, on_denied)
+            elif self.may_act and (is_leader or self._leadership.is_store_down_for_all):
+                self._was_authority_denied = False
                 on_confirmed()
-                return
-            log.info("event=authority_denied term=%d", self.number)
-            on_denied()
+            else:
+                self._log_denied_authority()
+                on_denied()
 
         if self.may_act:
             self.ledger.confirm_leadership(on_done)
         else:
             on_denied()
 
+    def _log_denied_authority(self) -> None:
+        """Logs that an act was denied, once until the next one is confirmed."""
+        if not self._was_authority_denied:
+            self._was_authority_denied = True
+            log.info("event=authority_denied term=%d", self.number)
+
 
 class TermActor(Actor):
     """One duty of the leader, for one term."""
--- a/flaxtally/ledger/leadership_barrier.py
+++ b/flaxtally/ledger/leadership_barrier.py
@@ -101,11 +101,14 @@
         self._store.compare_and_swap({LEADER_KEY: self._leader_key_version}, {}, [], on_reply)
 
     def _on_reply(self, round_number: int, requests: list[_Request], outcome: Outcome) -> None:
+        is_lost = self._is_open and outcome is Outcome.CONFLICT
+        if is_lost:
+            # Before the requests are resolved: who gets False may ask whether this controller still
+            # leads, or just could not reach the store.
+            self._on_leadership_lost()
         for request in requests:
             request.resolve(is_leading=self._is_open and outcome is Outcome.COMMITTED)
-        if self._is_open and outcome is Outcome.CONFLICT:
-            self._on_leadership_lost()
-        else:
+        if not is_lost:
             self._start_next_round(round_number)
 
     def _on_timeout(self, round_number: int, requests: list[_Request]) -> None:
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -90,6 +90,12 @@
             assert cluster.count(ref) == job.tasks, (ref, cluster.query_job(ref))
 
 
+def cut_off_by_refusals(cluster: SimulatedCluster, node: str, for_s: float) -> None:
+    """The state service refuses the controller alone, and so do its peers, as behind a filter."""
+    cluster.refuse(node, for_s)
+    cluster.refuse_peers(node, for_s)
+
+
 def cut_zone(cluster: SimulatedCluster, zone: str) -> Callable[[], None]:
     """Cuts a zone's controllers and machines off from all other hosts.
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -154,6 +154,11 @@
     ) -> None:
         """Reports nothing: a simulated host's delay shows in `queue`."""
 
+    @property
+    def is_frozen(self) -> bool:
+        """Whether the process is paused."""
+        return self._frozen_at is not None
+
     def freeze(self, for_s: float) -> None:
         """Pauses the process while its clocks continue; its kernel still receives packets."""
         self._frozen_at = self.sim.time
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -38,6 +38,7 @@
             can_see_leader=True,
             live_members=["controller-0", "controller-1"],
             formats=[1, 4],
+            can_reach_store=True,
         ),
         {
             "k": "hb",
@@ -48,6 +49,7 @@
             "sees": True,
             "view": ["controller-0", "controller-1"],
             "formats": [1, 4],
+            "store": True,
         },
     ),
     (
