The queue of calls, a leader's authority and stopping tasks are modules of their own

`CallQueue` orders, limits, pauses and guards the calls; `Cloud` keeps the typed calls and their outcomes. `Authority` says whether the leader may decide, and confirms it. `StoppingTasks` counts what stopping tasks will free. The tests of a common outage have a file of their own.

--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -8,10 +8,9 @@
 
 import msgspec
 
-from ..lending.entitlement import NO_RESOURCES, Amounts, compute_amounts
 from ..protocol import workers
-from ..protocol.vocabulary import FLUSHING
 from ..protocol.workers import Command, CommandBatch, Heartbeat
+from .stopping_tasks import StoppingTasks
 from .term import Term, TermActor
 
 if TYPE_CHECKING:
@@ -112,8 +111,7 @@
         super().__init__(term)
         self.transport = transport
         self._on_heartbeat = on_heartbeat
-        self._stopping: dict[str, Amounts] = {}
-        """The resources, by team, of stopping tasks that are not proven finished."""
+        self.stopping_tasks = StoppingTasks(term)
         self._outbox: dict[str, list[_QueuedCommand]] = {}
         """The commands to be sent, by machine."""
         self._unconfirmed_stops: list[_UnconfirmedStop] = []
@@ -155,7 +153,7 @@
             return
         placement.command_sent_at = self.runtime.now()
         stop = _UnconfirmedStop(placement, grace_s, is_first=placement.stopping_at is None)
-        self.mark_stopping(placement)
+        self.stopping_tasks.mark(placement)
         if placement.job.is_cancellation_committed:
             self._enqueue_stop(stop)
         else:
@@ -193,26 +191,6 @@
             machine.incarnation = max(machine.incarnation, 1)
             self._send_batch(machine, [], [])
 
-    # Resources of stopping tasks
-
-    def mark_stopping(self, placement: Placement) -> None:
-        """Counts the task as stopping: this leader or an earlier one commanded it to."""
-        if placement.stopping_at is None:
-            placement.stopping_at = self.runtime.now()
-            spec = placement.job.spec
-            stopping = self._stopping.get(spec.team, NO_RESOURCES)
-            self._stopping[spec.team] = stopping.plus(compute_amounts(spec))
-
-    def unmark_stopping(self, placement: Placement) -> None:
-        """Stops counting the task as stopping: the placement is proven finished."""
-        if placement.stopping_at is not None:
-            spec = placement.job.spec
-            self._stopping[spec.team] = self._stopping[spec.team].minus(compute_amounts(spec))
-
-    def compute_usage_not_stopping(self, team: str) -> Amounts:
-        """Returns the resources of a team's tasks that were not commanded to stop."""
-        return self.term.compute_team_usage(team).minus(self._stopping.get(team, NO_RESOURCES))
-
     # Sending
 
     def resume(self) -> None:
@@ -221,7 +199,7 @@
             self._send_queued()
 
     def _send_queued(self) -> None:
-        if self.term.is_suspended:
+        if self.term.authority.is_suspended:
             return
         self._confirm_stops()
         outbox = self._outbox
@@ -240,7 +218,7 @@
         stops = self._unconfirmed_stops
         self._unconfirmed_stops = []
         if stops:
-            self.term.confirm_authority(
+            self.term.authority.confirm(
                 partial(self._send_stops, stops), partial(self._withdraw_stops, stops)
             )
 
@@ -252,9 +230,8 @@
     def _withdraw_stops(self, stops: list[_UnconfirmedStop]) -> None:
         """Forgets stops that this controller may not be entitled to send: nothing was sent."""
         for stop in stops:
-            if stop.is_first and not stop.is_obsolete and stop.placement.state != FLUSHING:
-                self.unmark_stopping(stop.placement)
-                stop.placement.stopping_at = None
+            if stop.is_first and not stop.is_obsolete:
+                self.stopping_tasks.unmark_unless_saving(stop.placement)
 
     def _send_in_batches(self, machine: Machine, queued: list[_QueuedCommand]) -> None:
         for start in range(0, len(queued), MAX_BATCH_COMMANDS):
--- a/flaxtally/leader/leader.py
+++ b/flaxtally/leader/leader.py
@@ -127,7 +127,7 @@
         self._suspension.handle_pause()
 
     def _on_short_pause(self, _pause_s: float) -> None:
-        self.term.short_pause_count += 1
+        self.term.authority.on_short_pause()
 
     def handle_higher_token(self, machine: str, token: int) -> None:
         """Suspends the term: a machine reports a fencing token above the term's."""
@@ -137,7 +137,7 @@
     def _confirm_authority(
         self, on_confirmed: Callable[[], None], on_denied: Callable[[], None]
     ) -> None:
-        self.term.confirm_authority(on_confirmed, on_denied)
+        self.term.authority.confirm(on_confirmed, on_denied)
 
     def _on_leadership_confirmed(self) -> None:
         self.duties.commands.resume()
@@ -209,13 +209,13 @@
         """
         if not self.term.active:
             return False
-        if self._election.may_be_superseded != self.term.may_be_superseded:
+        if self._election.may_be_superseded != self.term.authority.may_be_superseded:
             self._update_supersession()
         return self.term.may_act
 
     def _update_supersession(self) -> None:
         may_be_superseded = self._election.may_be_superseded
-        self.term.may_be_superseded = may_be_superseded
+        self.term.authority.may_be_superseded = may_be_superseded
         if may_be_superseded:
             log.info(
                 "event=supersession_possible term=%d unreachable=%s",
--- a/flaxtally/leader/reclaim/quota_accounting.py
+++ b/flaxtally/leader/reclaim/quota_accounting.py
@@ -55,7 +55,7 @@
 
     def _compute_staying_usage(self, team: str) -> Amounts:
         """Returns the usage of a team's tasks that are neither stopping nor chosen to stop."""
-        not_stopping = self._commands.compute_usage_not_stopping(team)
+        not_stopping = self._commands.stopping_tasks.compute_usage_not_stopping(team)
         return not_stopping.minus(self._open_reclaims.get_chosen_usage(team))
 
     def is_entitled(self, job: Job) -> bool:
--- a/flaxtally/leader/reconciliation/attempt_finisher.py
+++ b/flaxtally/leader/reconciliation/attempt_finisher.py
@@ -69,7 +69,7 @@
             AttemptEnded(job.number, placement.task, placement.attempt, is_done),
             partial(self._on_end_committed, placement),
         )
-        self._commands.unmark_stopping(placement)
+        self._commands.stopping_tasks.remove_finished(placement)
         job.uncommitted_ends += 1
         machine = self.fleet.machines.get(placement.machine)
         if machine is not None:
--- a/flaxtally/leader/reconciliation/reconciler.py
+++ b/flaxtally/leader/reconciliation/reconciler.py
@@ -125,7 +125,7 @@
             log.warning("event=unknown_state task=%s state=%r", placement.name, state)
         placement.state = state
         if state == wire.FLUSHING:
-            self._commands.mark_stopping(placement)
+            self._commands.stopping_tasks.mark(placement)
         if state in (wire.RUNNING, wire.WAITING):
             self._record_image(machine, placement)
         if state == wire.RUNNING and placement.started_at is None:
--- a/flaxtally/leader/suspension.py
+++ b/flaxtally/leader/suspension.py
@@ -51,7 +51,7 @@
         if report in self._reported_tokens:
             return
         self._reported_tokens.add(report)
-        if not self.term.is_suspended:
+        if not self.term.authority.is_suspended:
             log.info(
                 "event=higher_token term=%d token=%d machine=%s", self.term.number, token, machine
             )
@@ -60,8 +60,8 @@
     def _suspend(self) -> None:
         self._sign_count += 1
         self.cloud.pause_calls()
-        if not self.term.is_suspended:
-            self.term.is_suspended = True
+        if not self.term.authority.is_suspended:
+            self.term.authority.is_suspended = True
             self._confirm_leadership()
 
     def _confirm_leadership(self) -> None:
@@ -85,6 +85,6 @@
 
     def _resume(self) -> None:
         log.info("event=leadership_confirmed term=%d", self.term.number)
-        self.term.is_suspended = False
+        self.term.authority.is_suspended = False
         self.cloud.resume()
         self._on_resumed()
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import logging
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from ..lending.entitlement import NO_RESOURCES, Amounts, Quota
 from ..runtime.actor import Actor
+from .authority import Authority
 from .fleet import Fleet
 from .pass_requests import PassRequests
 
@@ -21,32 +21,10 @@
     from ..protocol import wire
     from ..runtime.loop import Runtime
     from ..settings import Settings
+    from .authority import Leadership
     from .team_limits import TeamLimits
 
 
-log = logging.getLogger(__name__)
-
-
-class Leadership(Protocol):
-    """What the leader election knows about this controller's leadership."""
-
-    @property
-    def is_leader(self) -> bool:
-        """Whether this controller believes that it leads."""
-
-    @property
-    def term(self) -> int:
-        """The newest term that this controller knows of."""
-
-    @property
-    def may_be_superseded(self) -> bool:
-        """Whether another controller may have taken over unnoticed."""
-
-    @property
-    def is_store_down_for_all(self) -> bool:
-        """Whether every other controller has just said that it can't reach the store either."""
-
-
 @dataclass(frozen=True, kw_only=True)
 class LeaderContext:
     """The collaborators of a leader in all of its terms."""
@@ -88,20 +66,13 @@
         self.cloud = context.cloud
         self.rng = context.rng
         self.limits = context.limits
-        self._leadership = context.leadership
+        self.authority = Authority(number, context.leadership, context.ledger)
         self.machine_types = machine_types
         self.active = False
         self.is_over = False
         """Whether this controller has stopped leading the term: it never becomes active again."""
-        self.may_be_superseded = False
-        """Whether another controller may lead by now: see `LeaderElection.may_be_superseded`."""
-        self.is_suspended = False
-        """Whether leadership is in doubt and has not been confirmed since: see `Suspension`."""
         self.pause_count = 0
         """How often the process was paused: a timeout during a pause proves nothing."""
-        self.short_pause_count = 0
-        """How often the process was paused, pauses included that are too short to suspend it."""
-        self._was_authority_denied = False
         self.began_at = context.runtime.now()
         self.fleet = Fleet(context.runtime, context.ledger, context.settings.zones)
         self.pass_requests = PassRequests()
@@ -112,6 +83,7 @@
         """Ends the term: replies that arrive later are ignored."""
         self.active = False
         self.is_over = True
+        self.authority.end()
 
     def request_pass(self) -> None:
         """Asks the scheduler for a pass over the pending jobs."""
@@ -131,52 +103,8 @@
 
     @property
     def may_act(self) -> bool:
-        """Whether the leader may decide to provision, terminate, move and preempt.
-
-        False from the moment of a step-down on, although the term ends a little later.
-        """
-        leadership = self._leadership
-        return (
-            self.active
-            and not self.is_suspended
-            and not self.may_be_superseded
-            and leadership.is_leader
-            and leadership.term == self.number
-            and not leadership.may_be_superseded
-        )
-
-    def confirm_authority(
-        self, on_confirmed: Callable[[], None], on_denied: Callable[[], None]
-    ) -> None:
-        """Calls `on_confirmed` if an act that nothing can fence may be done now, else `on_denied`.
-
-        It may be done if a transaction sent after this call proves leadership, and the process was
-        not paused since. If the key-value store can't be reached, it may be done if it is down for
-        all controllers.
-        """
-        short_pause_count = self.short_pause_count
-
-        def on_done(is_leader: bool) -> None:
-            if short_pause_count != self.short_pause_count:
-                # The reply may have waited in the socket while another controller took over.
-                self.confirm_authority(on_confirmed, on_denied)
-            elif self.may_act and (is_leader or self._leadership.is_store_down_for_all):
-                self._was_authority_denied = False
-                on_confirmed()
-            else:
-                self._log_denied_authority()
-                on_denied()
-
-        if self.may_act:
-            self.ledger.confirm_leadership(on_done)
-        else:
-            on_denied()
-
-    def _log_denied_authority(self) -> None:
-        """Logs that an act was denied, once until the next one is confirmed."""
-        if not self._was_authority_denied:
-            self._was_authority_denied = True
-            log.info("event=authority_denied term=%d", self.number)
+        """Whether the leader may decide to provision, terminate, move and preempt."""
+        return self.active and self.authority.is_assumed
 
 
 class TermActor(Actor):
--- a/tests/test_leader_authority.py
+++ b/tests/test_leader_authority.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from flaxtally.clients.cloud import Cloud
+from flaxtally.clients.call_queue import CallQueue
 from flaxtally.cluster.leader_key import LEADER_KEY, parse_leader_record
 from flaxtally.leader.commands import CommandSender
 
@@ -24,7 +24,7 @@
 from .simulated_cluster import NODES
 
 if TYPE_CHECKING:
-    from flaxtally.clients.cloud import _Request
+    from flaxtally.clients.call_queue import CloudCall
     from flaxtally.leader.commands import _UnconfirmedStop
     from flaxtally.protocol import wire
 
@@ -51,7 +51,7 @@
         self.unentitled: list[str] = []
         transact, send_call, send_stops = (
             cluster.state.transact,
-            Cloud._send,
+            CallQueue._send,
             CommandSender._send_stops,
         )
 
@@ -59,17 +59,17 @@
             self._note_leader()
             return transact(transaction)
 
-        def check_call(cloud: Cloud, request: _Request) -> None:
-            if request.changes_machines:
-                self._check(cloud._runtime.ip, request.path)  # type: ignore[attr-defined]
-            send_call(cloud, request)
+        def check_call(queue: CallQueue, call: CloudCall) -> None:
+            if call.changes_machines:
+                self._check(queue._runtime.ip, call.path)  # type: ignore[attr-defined]
+            send_call(queue, call)
 
         def check_stops(sender: CommandSender, stops: list[_UnconfirmedStop]) -> None:
             self._check(sender.runtime.ip, "stops")  # type: ignore[attr-defined]
             send_stops(sender, stops)
 
         patch.setattr(cluster.state, "transact", transact_and_note_leader)
-        patch.setattr(Cloud, "_send", check_call)
+        patch.setattr(CallQueue, "_send", check_call)
         patch.setattr(CommandSender, "_send_stops", check_stops)
 
     def _note_leader(self) -> None:
@@ -96,7 +96,7 @@
     """
     for node in cluster.nodes.values():
         cloud = node.leader._context.cloud
-        if node.leader.term.may_act and not cloud._queue:
+        if node.leader.term.may_act and not cloud.has_waiting_calls:
             cloud.terminate(["n-none"], lambda _: None)
     cluster.after(0.2, act_as_leader, cluster)
 
--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from flaxtally.clients.cloud import MAX_CONNECTIONS
+from flaxtally.clients.call_queue import MAX_CONNECTIONS
 from flaxtally.leader.autoscaling import replica_moves
 from flaxtally.planning.fleet import Pool
 from flaxtally.planning.machine_index import MachineIndex
@@ -28,13 +28,15 @@
     term,
     wait_for_leader,
 )
-from .simulated_cluster import CLOUD_ADDRESS, NODES, SimulatedCluster, batch, spec
+from .simulated_cluster import CLOUD_ADDRESS, NODES, batch, spec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from flaxtally.ledger.placement import Placement
 
+    from .simulated_cluster import SimulatedCluster
+
 
 COOL_DOWN_S = 30.0
 """Seconds for which a machine is idle before the leader terminates it."""
@@ -264,7 +266,7 @@
     cluster, _ = start_cluster_with_idle_machines()
     cluster.run(4)
     leader = wait_for_leader(cluster)
-    client = cluster.nodes[leader].leader._context.cloud._client
+    client = cluster.nodes[leader].leader._context.cloud._queue._client
     client.close()
     requested = count_changes_requested_by(cluster, leader)
     request_machines(cluster, leader, 1)
@@ -356,69 +358,6 @@
     assert cluster.run_until(lambda: "j-000100/1" not in cluster.running, 0.1)
 
 
-@pytest.mark.parametrize("seed", range(4))
-@pytest.mark.parametrize("fault", ["refused", "silent", "slow"])
-def test_outage_counts_as_common_only_until_a_peer_may_take_over(fault: str, seed: int) -> None:
-    # Replies of all peers that the store is down for them too stand in for the store. If they
-    # counted for longer than it takes a peer to take over, the leader would act beside it.
-    cluster = SimulatedCluster(seed)
-    former = wait_for_leader(cluster)
-    election = cluster.nodes[former].election
-    others = [cluster.ip(name) for name in NODES if name != former]
-    if fault == "slow":
-        cluster.slow_down_links(0.2, 60.0)
-    cluster.run(3)
-    assert not election.is_store_down_for_all
-    cluster.start_state_outage(8.0)
-    cluster.run(7.9)
-    assert election.is_store_down_for_all
-    # From now on the store refuses only the leader.
-    cluster.refuse(former, 30.0)
-    if fault == "refused":
-        cluster.refuse_peers(former, 30.0)
-    elif fault == "silent":
-        cluster.cut(cluster.ip(former), others, 30.0)
-    before = term(cluster)
-    while term(cluster) == before:
-        was_down_for_all = election.is_store_down_for_all
-        cluster.sim.step()
-    assert not was_down_for_all
-    cluster.run(1)
-    assert not election.is_store_down_for_all
-
-
-def test_frames_that_waited_during_a_pause_are_no_sign_of_a_common_outage() -> None:
-    # After a pause the former leader read frames that peers had sent before they took over. What
-    # counts is the age of its own frame that they reply to.
-    cluster, _ = start_cluster_with_idle_machines()
-    former = wait_for_leader(cluster)
-    election = cluster.nodes[former].election
-    cluster.start_state_outage(20.0)
-    cluster.run(5)
-    assert election.is_store_down_for_all
-    others = [cluster.ip(name) for name in NODES if name != former]
-    cluster.freeze(former, 0.95)
-    cluster.run(0.2)
-    cluster.cut(cluster.ip(former), others, 10.0)
-    cluster.run(0.76)
-    assert not election.is_store_down_for_all
-
-
-def test_controller_started_in_an_outage_does_not_vouch_for_the_time_before() -> None:
-    # Its earlier process may have taken over before the outage; nobody else might know.
-    cluster = SimulatedCluster()
-    former = wait_for_leader(cluster)
-    election = cluster.nodes[former].election
-    cluster.run(3)
-    cluster.start_state_outage(30.0)
-    cluster.run(5)
-    assert election.is_store_down_for_all
-    cluster.crash(next(name for name in NODES if name != former), restart_after_s=1.0)
-    cluster.run(10)
-    assert not election.list_unreachable_peers()
-    assert not election.is_store_down_for_all
-
-
 def test_leader_may_not_act_from_the_moment_of_its_step_down_on() -> None:
     # The term ends one turn of the event loop after the step-down. Timers that became due in that
     # turn still rented and released machines for a controller that knew it was replaced.
