--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -28,7 +28,7 @@
     term,
     wait_for_leader,
 )
-from .simulated_cluster import CLOUD_ADDRESS, NODES, batch, spec
+from .simulated_cluster import CLOUD_ADDRESS, NODES, batch, gang, spec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -301,6 +301,19 @@
     notices.handle_notice(duties.term.fleet.machines[cluster.find_machine(task)], 2.0)
 
 
+def mark_machine_slow(cluster: SimulatedCluster, node: str, task: str) -> None:
+    """Has the controller move batch tasks off a machine that runs them slowly."""
+    duties = cluster.nodes[node].leader.duties
+    machine = duties.term.fleet.machines[cluster.find_machine(task)]
+    duties.stragglers._mark_slow(machine, 1, 3.0)
+
+
+def stop_gang(cluster: SimulatedCluster, node: str, task: str) -> None:
+    """Has the controller stop the gang that the task belongs to."""
+    job = find_placement(cluster, node, task).job
+    cluster.nodes[node].leader.duties.gang_scheduler.stop_gang(job, "test")
+
+
 def find_placement(cluster: SimulatedCluster, node: str, task: str) -> Placement:
     ref, _, number = task.partition("/")
     job = cluster.nodes[node].leader.state.jobs_by_ref[ref]
@@ -309,7 +322,13 @@
 
 @pytest.mark.parametrize(
     ("act", "task"),
-    [(preempt, "j-000200/0"), (move, "j-000000/0"), (heed_preemption_notice, "j-000200/0")],
+    [
+        (preempt, "j-000200/0"),
+        (move, "j-000000/0"),
+        (heed_preemption_notice, "j-000200/0"),
+        (mark_machine_slow, "j-000200/0"),
+        (stop_gang, "j-000300/0"),
+    ],
 )
 def test_leader_stops_no_task_that_its_successor_took_over(
     act: Callable[[SimulatedCluster, str, str], None], task: str
@@ -318,7 +337,8 @@
     # reaches it: a replica that the successor counts on would end.
     cluster, _ = start_cluster_with_idle_machines()
     cluster.submit(batch("j-000200", 1, checkpoint_interval_s=2.0), run_time=100.0)
-    assert cluster.run_until(lambda: "j-000200/0" in cluster.running, 40)
+    cluster.submit(gang("j-000300", 2), run_time=100.0)
+    assert cluster.run_until(lambda: {"j-000200/0", "j-000300/0"} <= set(cluster.running), 40)
     cluster.run(4)
     former = wait_for_leader(cluster)
     others = [cluster.ip(name) for name in NODES if name != former]
