Logs tell which placement an end belongs to, and which exits a machine is told to forget

At debug there was one line for the end, without a word about whether the launch had been answered, and none for the command to forget an exit.

Change: attempt_finished (debug) also says whether an earlier leader placed the task and how many of its launches had no answer; forget_sent (debug) is new.

--- a/flaxtally/leader/reconciliation/attempt_finisher.py
+++ b/flaxtally/leader/reconciliation/attempt_finisher.py
@@ -98,10 +98,13 @@
 
     def _log_end(self, placement: Placement, reason_text: str) -> None:
         log.debug(
-            "event=attempt_finished term=%d task=%s attempt=%d machine=%s why=%s",
+            "event=attempt_finished term=%d task=%s attempt=%d machine=%s why=%s inherited=%s "
+            "unanswered_launches=%d",
             self.term.number,
             placement.name,
             placement.attempt,
             placement.machine,
             reason_text,
+            placement.is_inherited,
+            placement.launches_in_flight,
         )
--- a/flaxtally/leader/reconciliation/orphans.py
+++ b/flaxtally/leader/reconciliation/orphans.py
@@ -39,7 +39,7 @@
         if task.state != wire.EXITED:
             self._stop_orphan(machine, task)
         elif self._can_forget(machine, task):
-            self._commands.enqueue(machine, wire.forget(task.task, task.attempt))
+            self._forget(machine, task)
 
     def _stop_orphan(self, machine: Machine, task: wire.TaskStatus) -> None:
         log.warning(
@@ -51,6 +51,17 @@
         )
         self._commands.enqueue(machine, wire.stop(task.task, task.attempt, 0.0))
 
+    def _forget(self, machine: Machine, task: wire.TaskStatus) -> None:
+        log.debug(
+            "event=forget_sent term=%d task=%s attempt=%d machine=%s cause=%s",
+            self.term.number,
+            task.task,
+            task.attempt,
+            machine.name,
+            task.cause,
+        )
+        self._commands.enqueue(machine, wire.forget(task.task, task.attempt))
+
     def _can_forget(self, machine: Machine, task: wire.TaskStatus) -> bool:
         """Whether no copy of the launch command can still arrive: it would start the task again.
 
