A gang's lost task goes to no machine that may take it for an earlier one

A task failed before its gang began, its end was committed, and the leader ended. The next leader had the machine forget the exit and placed the lost task there again, under the same attempt, as gangs need. Both commands were late.

Cause: reports and commands name a task and its attempt. A replacement in a gang has the name of the task that it replaces. Such placements were kept off the same machine by a set that lasts for a term; the next leader began with an empty one, took the exit that the machine still listed for the end of its own placement, and launched the attempt elsewhere. Then the machine carried out the late forget command, and after it the late launch.

Change: a machine gets no replacement of an attempt while it reports a task of it that the ledger doesn't place there, nor while a command of this term about such a task may still arrive. A forget command about it is sent once, so a report without the task proves that it was carried out. If such a machine is the only room, the gang waits for it within the time for replacements, in place of giving the attempt up and starting all tasks anew.

The fake worker can hold commands up, and its gangs' tasks can fail; its gangs no longer double their timers while several machines hang.

--- a/flaxtally/fakes/gang_rendezvous.py
+++ b/flaxtally/fakes/gang_rendezvous.py
@@ -165,10 +165,14 @@
 
     def _exit_all(self, rendezvous: _Rendezvous, cause: str) -> None:
         for host, worker_task in list(rendezvous.members.values()):
-            if host.hung:
-                self._runtime.after(CHECK_INTERVAL_S, self._exit_all, rendezvous, cause)
-            else:
-                host.exit(worker_task, cause)
+            self._exit_unless_hung(host, worker_task, cause)
+
+    def _exit_unless_hung(self, host: Host, worker_task: WorkerTask, cause: str) -> None:
+        """Ends the task as soon as its machine does not hang."""
+        if host.hung:
+            self._runtime.after(CHECK_INTERVAL_S, self._exit_unless_hung, host, worker_task, cause)
+        else:
+            host.exit(worker_task, cause)
 
     def stop(self, host: Host, worker_task: WorkerTask, grace_s: float) -> None:
         """Stops a gang's task; it saves first if the attempt runs and the grace period allows."""
--- a/flaxtally/fakes/worker.py
+++ b/flaxtally/fakes/worker.py
@@ -17,6 +17,9 @@
     from ..runtime.loop import Address, Runtime, Timer
     from .gang_rendezvous import GangRendezvous
 
+FAILURE_AFTER_S = 0.5
+"""Seconds after its start at which a task fails, if its job fails on the machine."""
+
 
 class Worker:
     """A worker and its machine.
@@ -63,7 +66,12 @@
         self.mute = False
         """Whether its heartbeats are lost; commands reach it, and their replies arrive."""
         self.does_job_fail: Callable[[str], bool] = lambda _: False
-        """Returns whether a job's tasks fail on this machine."""
+        """Returns whether a job's tasks fail on this machine; called at the start of each."""
+        self.get_command_delay_s: Callable[[wire.CommandBatch], float] = lambda _: 0.0
+        """Returns how long a batch of commands is held up on its way to the worker.
+
+        Such a batch gets no reply, and is executed once if its token and incarnation still match.
+        """
         self.on_heartbeat_sent: Callable[[str, wire.Heartbeat], None] = lambda *_: None
         """Called with the receiving controller's name and the heartbeat, for each one sent."""
         self.slowness = 1.0
@@ -195,15 +203,34 @@
             request.reply(200, self.report())
             return
         batch = msgspec.msgpack.decode(request.body, type=wire.CommandBatch)
-        if batch.fencing_token < self.fencing_token or batch.incarnation != self.incarnation:
-            request.reply(409, self.report())
+        delay_s = self.get_command_delay_s(batch)
+        if delay_s:
+            self._runtime.after(delay_s, self._execute_late, batch)
+            return
+        is_executed = self._execute_batch(batch)
+        request.reply(200 if is_executed else 409, self.report())
+
+    def _execute_late(self, batch: wire.CommandBatch) -> None:
+        """Executes a batch that was held up on its way; its sender no longer waits for a reply."""
+        if self._is_shut_down:
+            return
+        if self.hung:
+            self._runtime.after(0.5, self._execute_late, batch)
             return
+        if self._runtime.now() - self._lease_renewed_at > self._lease_s:
+            self._expire_lease()
+        self._execute_batch(batch)
+
+    def _execute_batch(self, batch: wire.CommandBatch) -> bool:
+        """Executes a batch, unless its token or its incarnation is outdated."""
+        if batch.fencing_token < self.fencing_token or batch.incarnation != self.incarnation:
+            return False
         is_token_raised = batch.fencing_token > self.fencing_token
         self.fencing_token = batch.fencing_token
         self._execute(batch.commands)
-        request.reply(200, self.report())
         if is_token_raised:
             self.report_soon()
+        return True
 
     def _execute(self, commands: list[wire.Command]) -> None:
         for command in commands:
@@ -295,11 +322,15 @@
         self._on_event("start", self.machine.machine, worker_task.task, worker_task.attempt)
         if self._gangs is not None and spec is not None and spec.job_kind == wire.GANG:
             self._gangs.arrive(self, worker_task, spec)
+            if self.does_job_fail(ref):
+                self._runtime.after(FAILURE_AFTER_S, self.exit, worker_task, wire.CAUSE_ERROR)
             return
         worker_task.state = wire.RUNNING
         run_time_s = self._run_time(ref)
         if self.does_job_fail(ref):
-            worker_task.timer = self._runtime.after(0.5, self.exit, worker_task, wire.CAUSE_ERROR)
+            worker_task.timer = self._runtime.after(
+                FAILURE_AFTER_S, self.exit, worker_task, wire.CAUSE_ERROR
+            )
         elif run_time_s is not None:
             worker_task.timer = self._runtime.after(
                 run_time_s * self.slowness, self._complete, worker_task
--- a/flaxtally/leader/gang_scheduling/gang_attempts.py
+++ b/flaxtally/leader/gang_scheduling/gang_attempts.py
@@ -47,7 +47,7 @@
         self.grace_s = 0.0
         """Seconds that the tasks have for saving a checkpoint."""
         self.machines_with_lost_tasks: set[str] = set()
-        """Machines that may still report a task of the attempt that has finished there."""
+        """Machines on which a task of the attempt was lost in this term: they get no other one."""
 
 
 class GangAttempts(TermActor):
--- a/flaxtally/leader/gang_scheduling/gang_scheduler.py
+++ b/flaxtally/leader/gang_scheduling/gang_scheduler.py
@@ -12,10 +12,11 @@
 from ..term import Term, TermActor
 from .gang_attempts import GangAttempts
 from .gang_machines import GangMachineChooser
+from .gang_orphans import GangOrphans
 from .gang_stops import GangStops
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from ...gangs.gang_capacity import MachineFilter
     from ...ledger.job import Job
@@ -52,7 +53,8 @@
         self._commands = commands
         self._finish_attempt = finish_attempt
         self._attempts = GangAttempts(term)
-        self._machine_chooser = GangMachineChooser(term, jobs, self._attempts)
+        self.orphans = GangOrphans(term)
+        self._machine_chooser = GangMachineChooser(term, jobs, self._attempts, self.orphans)
         self._stops = GangStops(term, commands, self._attempts)
         self._no_capacity_until: dict[int, float] = {}
         """When to search again for gangs for which there was no capacity, by job number."""
@@ -89,7 +91,9 @@
             self._propose_placements(job, attempt, missing, choice.machines)
             return len(missing)
         self._no_capacity_until[job.number] = now + self.policy.retry
-        if action is Action.REPLACE:
+        if action is Action.REPLACE and not self._machine_chooser.will_have_machines(
+            job, len(missing), index, machine_filter, reserve_for_gpus=reserve_for_gpus
+        ):
             self._stops.abandon_gang(job, "no capacity for a lost task")
         return 0
 
@@ -177,6 +181,13 @@
         self._no_capacity_until.pop(job.number, None)
         self._abandon_if_lost(job)
 
+    def on_orphans_reported(self, machine: str, tasks: Collection[wire.TaskStatus]) -> None:
+        """Handles the tasks that a machine reports although the log does not place them there."""
+        for job in self.orphans.update(machine, tasks):
+            # The machine may get a replacement of a lost task now.
+            self._no_capacity_until.pop(job.number, None)
+            self.term.request_pass()
+
     def on_preemption_notice(self, job: Job, notice_s: float) -> None:
         """Handles the cloud's notice that it preempts a machine of the gang in `notice_s` seconds.
 
--- a/flaxtally/leader/reconciliation/orphans.py
+++ b/flaxtally/leader/reconciliation/orphans.py
@@ -12,6 +12,7 @@
     from ...ledger.placement import Placement
     from ...planning.fleet import Machine
     from ..commands import CommandSender
+    from ..gang_scheduling.gang_orphans import GangOrphans
 
 log = logging.getLogger(__name__)
 
@@ -19,10 +20,14 @@
 class OrphanedTasks(TermActor):
     """Stops orphaned tasks, and has machines forget exited ones once that is safe."""
 
-    def __init__(self, term: Term, commands: CommandSender) -> None:
-        """Starts without reported exits; `commands` sends stop and forget commands to machines."""
+    def __init__(self, term: Term, commands: CommandSender, gang_orphans: GangOrphans) -> None:
+        """Starts without reported exits; `commands` sends stop and forget commands to machines.
+
+        `gang_orphans`: limits the forget commands about the tasks of gangs.
+        """
         super().__init__(term)
         self._commands = commands
+        self._gang_orphans = gang_orphans
         self._exits: dict[str, dict[tuple[str, int], Placement]] = {}
         """The placements whose exit was reported, by machine, then by task and attempt."""
 
@@ -33,12 +38,15 @@
     def forget_machine(self, machine: Machine) -> None:
         """Forgets the exits on a machine that was removed."""
         self._exits.pop(machine.name, None)
+        self._gang_orphans.forget_machine(machine.name)
 
     def handle_orphan(self, machine: Machine, task: wire.TaskStatus) -> None:
         """Stops a task that the log does not place on the machine, or lets it forget the task."""
         if task.state != wire.EXITED:
             self._stop_orphan(machine, task)
-        elif self._can_forget(machine, task):
+        elif self._can_forget(machine, task) and self._gang_orphans.may_send_forget(
+            machine.name, task
+        ):
             self._forget(machine, task)
 
     def _stop_orphan(self, machine: Machine, task: wire.TaskStatus) -> None:
--- a/flaxtally/leader/reconciliation/reconciler.py
+++ b/flaxtally/leader/reconciliation/reconciler.py
@@ -49,7 +49,7 @@
         self._stragglers = stragglers
         self._failure_attribution = failure_attribution
         self._gang_scheduler = gang_scheduler
-        self._orphans = OrphanedTasks(term, commands)
+        self._orphans = OrphanedTasks(term, commands, gang_scheduler.orphans)
         self.attempt_finisher = AttemptFinisher(
             term, jobs, commands, failure_attribution, gang_scheduler
         )
@@ -69,6 +69,7 @@
                 self._handle_exit(machine, placement, task.cause)
             else:
                 self._handle_live_task(machine, placement, task.state)
+        self._gang_scheduler.on_orphans_reported(machine.name, reported.values())
         for orphan in reported.values():
             self._orphans.handle_orphan(machine, orphan)
 
--- a/flaxtally/protocol/workers.py
+++ b/flaxtally/protocol/workers.py
@@ -19,6 +19,11 @@
     kept: bool = False
     """Whether a checkpoint was saved when the task was stopped."""
 
+    @property
+    def job_ref(self) -> str:
+        """The id of the task's job, as users know it."""
+        return self.task.partition("/")[0]
+
 
 class Heartbeat(
     msgspec.Struct,
