A relayed command is ignored by a later process of the controller that it was sent to

Callers would have seen a task that had ended start again, possibly beside its next attempt.

While a link counts as down, a frame goes over it and through the state service. A controller relays no number twice, but keeps the numbers in memory. Restarted between the two copies, it relayed the second one. The leader had taken the answer to the first for proof that no launch is under way, and had the machine forget the finished attempt.

Change: heartbeats between controllers name the sender's process, and a command names the process that is to relay it; any other ignores it. Without an answer the leader sends a launch again. Older versions ignore both fields; their commands name no process and are relayed as before.

--- a/flaxtally/api/command_relay.py
+++ b/flaxtally/api/command_relay.py
@@ -110,7 +110,14 @@
         number = next(self._numbers)
         timer = self.later(self._reply_timeout_s, self._on_reply_timeout, number)
         self._pending[number] = _PendingCommand(controller, on_reply, timer)
-        command = RelayedCommand(number=number, machine=machine, address=address, commands=encoded)
+        incarnation = self._election.get_peer_incarnation(controller)
+        command = RelayedCommand(
+            number=number,
+            machine=machine,
+            address=address,
+            commands=encoded,
+            receiver_incarnation=msgspec.UNSET if incarnation is None else incarnation,
+        )
         self._peers.send(controller, to_frame(command))
 
     def list_other_controllers(self, zone: str) -> list[str]:
@@ -146,9 +153,10 @@
         """Sends the leader's commands to a worker, and the worker's reply back to the leader.
 
         Late commands are harmless: they contain the fencing token and the worker's incarnation.
+        Commands that this process may have sent before are ignored.
         """
         if command.commands is not None and not self._should_execute(
-            sender, command.commands, command.number
+            sender, command, command.commands
         ):
             return
 
@@ -163,11 +171,14 @@
 
         self._call_worker(command.address, command.commands, on_reply)
 
-    def _should_execute(self, sender: str, encoded: EncodedBatch, number: int) -> bool:
+    def _should_execute(self, sender: str, command: RelayedCommand, encoded: EncodedBatch) -> bool:
         """Whether the commands are of the current term and arrive for the first time."""
         term = self._election.term
         if fencing_token_of(encoded) != term:
             return False
+        if command.receiver_incarnation not in (msgspec.UNSET, self._election.incarnation):
+            # An earlier process of this controller may have sent the commands.
+            return False
         if term != self._deduplicators_term:
             self._deduplicators_term = term
             self._deduplicators = {}
@@ -175,7 +186,7 @@
         if deduplicator is None:
             deduplicator = CommandDeduplicator(self._max_remembered)
             self._deduplicators[sender] = deduplicator
-        return deduplicator.is_new(number)
+        return deduplicator.is_new(command.number)
 
     # To the worker
 
--- a/flaxtally/cluster/leader_election.py
+++ b/flaxtally/cluster/leader_election.py
@@ -176,6 +176,10 @@
             for peer in self._peers.last_heard_at
         )
 
+    def get_peer_incarnation(self, peer: str) -> int | None:
+        """Returns the process that sent the peer's last heartbeat; None if it is not known."""
+        return self._observation.get_incarnation(peer)
+
     @property
     def seconds_since_leader_contact(self) -> float:
         """Seconds since the last heartbeat of the leader of this controller's term.
@@ -229,6 +233,7 @@
             live_members=self.live_members if self.is_leader else [],
             formats=list(formats.SUPPORTED),
             can_reach_store=self._assess_store(),
+            incarnation=self.incarnation,
         )
         self._peers.broadcast(to_frame(heartbeat))
         if heartbeat.can_reach_store is False:
--- a/flaxtally/cluster/leader_observation.py
+++ b/flaxtally/cluster/leader_observation.py
@@ -32,6 +32,8 @@
         """By peer: whether its last heartbeat said that it can see the leader of our term."""
         self._can_peer_reach_store: dict[str, bool | None] = {}
         """By peer: whether its last heartbeat said that it can reach the key-value store."""
+        self._incarnations: dict[str, int | None] = {}
+        """By peer: the process that sent its last heartbeat; None if that did not say."""
 
     def can_see_leader(self) -> bool:
         """Whether this controller is, or can reach, a leader that can commit."""
@@ -64,10 +66,15 @@
         self.is_ready = heartbeat.is_ready
 
     def on_peer_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
-        """Records whether a peer sees the leader of this controller's term."""
+        """Records what a peer reports of itself, and whether it sees the leader of our term."""
         is_of_our_term = heartbeat.term == self._state.term
         self._can_peer_see_leader[peer] = heartbeat.can_see_leader and is_of_our_term
         self._can_peer_reach_store[peer] = heartbeat.can_reach_store
+        self._incarnations[peer] = heartbeat.incarnation
+
+    def get_incarnation(self, peer: str) -> int | None:
+        """Returns the process that sent the peer's last heartbeat; None if it is not known."""
+        return self._incarnations.get(peer)
 
     def is_store_down_for(self, peer: str) -> bool:
         """Whether the peer's last heartbeat said that it can't reach the key-value store either."""
--- a/flaxtally/cluster/messages.py
+++ b/flaxtally/cluster/messages.py
@@ -58,6 +58,7 @@
         "can_see_leader": "sees",
         "live_members": "view",
         "can_reach_store": "store",
+        "incarnation": "boot",
     },
 ):
     """The term, the leader and the membership that the sender knows of."""
@@ -81,6 +82,8 @@
 
     None if it never did since the sender was started, and in the heartbeats of older versions.
     """
+    incarnation: int | None = None
+    """Identifies the sender's process; None in the heartbeats of older versions."""
 
 
 class ForwardedHeartbeat(
@@ -122,7 +125,13 @@
     kw_only=True,
     tag_field="k",
     tag=RELAYED_COMMAND_KIND,
-    rename={"number": "i", "machine": "m", "address": "a", "commands": "o"},
+    rename={
+        "number": "i",
+        "machine": "m",
+        "address": "a",
+        "commands": "o",
+        "receiver_incarnation": "boot",
+    },
 ):
     """A request of the leader that another controller send commands to a worker."""
 
@@ -136,6 +145,10 @@
 
     It is relayed unchanged, so that fields which a newer leader adds reach the worker.
     """
+    receiver_incarnation: int | msgspec.UnsetType = msgspec.UNSET
+    """The process that is to relay the commands: a later one does not know whether an earlier one
+    did. Not sent if it is unknown, or by older versions: then any process relays them.
+    """
 
 
 class RelayedCommandResult(
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -39,6 +39,7 @@
             live_members=["controller-0", "controller-1"],
             formats=[1, 4],
             can_reach_store=True,
+            incarnation=2**62 - 1,
         ),
         {
             "k": "hb",
@@ -50,6 +51,7 @@
             "view": ["controller-0", "controller-1"],
             "formats": [1, 4],
             "store": True,
+            "boot": 2**62 - 1,
         },
     ),
     (
@@ -72,6 +74,12 @@
         ),
         {"k": "ord", "i": 2, "m": "n-000001", "a": "h:1", "o": COMMANDS_ON_THE_WIRE},
     ),
+    (
+        messages.RelayedCommand(
+            number=2, machine="n-000001", address="h:1", commands=None, receiver_incarnation=7
+        ),
+        {"k": "ord", "i": 2, "m": "n-000001", "a": "h:1", "o": None, "boot": 7},
+    ),
     (
         messages.RelayedCommand(number=1, machine="n-000001", address="h:1", commands=None),
         {"k": "ord", "i": 1, "m": "n-000001", "a": "h:1", "o": None},
--- a/tests/test_placement_identity.py
+++ b/tests/test_placement_identity.py
@@ -6,17 +6,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import Counter
+from functools import partial
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
+from flaxtally.cluster.messages import RELAYED_COMMAND_KIND
+from flaxtally.cluster.peer_links import PeerLinks
+from flaxtally.fakes.worker import Worker
 from flaxtally.protocol import wire
 
 from .scenarios import change_leader, wait_for_leader
-from .simulated_cluster import GANG_WAIT_S, SimulatedCluster, gang, spec
+from .simulated_cluster import GANG_WAIT_S, NODES, SimulatedCluster, batch, gang, spec
 
 if TYPE_CHECKING:
-    from flaxtally.fakes.worker import Worker
+    from collections.abc import Callable
 
 GANG = "j-000002"
 COMMAND_DELAY_S = 9.0
@@ -146,6 +151,58 @@
     assert_completes(cluster)
 
 
+def test_relayed_launch_is_not_executed_again_by_a_restarted_controller(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A relayed command may arrive twice, directly and through the key-value store. A controller
+    # that was restarted in between did not know that it had executed the first copy. A launch was
+    # then executed again, after the machine had forgotten the finished attempt.
+    launched: Counter[tuple[str, int]] = Counter()
+    copies: list[Callable[[], None]] = []
+    launch, send = Worker._launch, PeerLinks.send
+
+    def count_launch(worker: Worker, command: wire.Command) -> None:
+        launched[command.task, command.attempt] += 1
+        launch(worker, command)
+
+    def keep_copy(peers: PeerLinks, node: str, frame: dict[str, Any]) -> None:
+        send(peers, node, frame)
+        if frame["k"] == RELAYED_COMMAND_KIND and is_launch(frame):
+            copies.append(partial(send, peers, node, frame))
+
+    cluster = SimulatedCluster()
+    cluster.submit(spec("j-000001", tasks=4))
+    assert cluster.run_until(lambda: len(cluster.running) == 4, 60), cluster.trace
+    monkeypatch.setattr(Worker, "_launch", count_launch)
+    monkeypatch.setattr(PeerLinks, "send", keep_copy)
+    for number in range(8):
+        cluster.submit(batch(f"j-{100 + number:06d}", 2), run_time=1.0, node=number)
+    cluster.run(30)
+    assert len(launched) == 16
+    assert copies
+    leader = wait_for_leader(cluster)
+    for name in NODES:
+        if name != leader:
+            cluster.crash(name, restart_after_s=0.1)
+    cluster.run(3)
+    assert cluster.leader() == leader
+    for send_copy in copies:
+        send_copy()
+    cluster.run(3)
+    assert max(launched.values()) == 1, launched
+    # The other side: the restarted controllers relay what is meant for them.
+    copies.clear()
+    cluster.submit(batch("j-000200", 8), run_time=1.0)
+    assert cluster.run_until(lambda: len(cluster.rules.jobs["j-000200"].done) == 8, 30)
+    assert copies
+
+
+def is_launch(frame: dict[str, Any]) -> bool:
+    """Returns whether the frame relays a command to launch a task."""
+    commands = (frame["o"] or {}).get("orders", ())
+    return any(command["verb"] == wire.LAUNCH for command in commands)
+
+
 def assert_completes(cluster: SimulatedCluster) -> None:
     """Runs until all tasks of the gang are done."""
     assert cluster.run_until(lambda: len(cluster.rules.jobs[GANG].done) == 3, 60), cluster.trace
