A reclaim's victims are the attempts on its machine, not their replacements elsewhere

Callers would have seen a gang that waits to begin stopped for capacity that was free already. Found by reading, shown in a test of the state.

A gang's lost task that was replaced on another machine, under the same attempt, was taken for the victim that had ended.

Change: a placement is a victim only if it is on the machine that the reclaim's record names, as all its victims are when it is decided. The tasks that will be stopped are kept as placements.

Test: test_victim_of_a_reclaim_is_not_its_replacement_on_another_machine failed before (the replacement was returned as the remaining victim).

--- a/flaxtally/leader/reclaim/open_reclaims.py
+++ b/flaxtally/leader/reclaim/open_reclaims.py
@@ -8,7 +8,6 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
-from ...ledger.reclaims import BorrowedAttempt, Reclaim
 from ...lending.entitlement import NO_RESOURCES, Amounts, compute_amounts
 
 if TYPE_CHECKING:
@@ -16,6 +15,7 @@
 
     from ...ledger.job import Job
     from ...ledger.placement import Placement
+    from ...ledger.reclaims import Reclaim
     from ...ledger.write_ahead_log import WriteAheadLog
     from ...protocol import wire
 
@@ -53,7 +53,7 @@
         self._promised: dict[str, Amounts] = {}
         self._unsent: dict[int, OpenReclaim] = {}
         """Reclaims whose victims have not been sent a stop command, by number."""
-        self._chosen: set[BorrowedAttempt] = set()
+        self._chosen: set[Placement] = set()
         """The victims of these reclaims that are not already stopping."""
         self._chosen_usage: dict[str, Amounts] = {}
         """The resources that the chosen tasks use, by team."""
@@ -105,9 +105,8 @@
         self._chosen_usage = {}
         for entry in self._unsent.values():
             for placed in self.find_remaining_victims(entry.reclaim):
-                victim = BorrowedAttempt(placed.job.number, placed.task, placed.attempt)
-                if placed.stopping_at is None and victim not in self._chosen:
-                    self._chosen.add(victim)
+                if placed.stopping_at is None and placed not in self._chosen:
+                    self._chosen.add(placed)
                     team = placed.job.spec.team
                     usage = self.get_chosen_usage(team).plus(compute_amounts(placed.job.spec))
                     self._chosen_usage[team] = usage
@@ -115,12 +114,19 @@
     # Queries
 
     def find_remaining_victims(self, reclaim: Reclaim) -> list[Placement]:
-        """Returns the victims that are not proven to be terminated."""
+        """Returns the victims that are not proven to be terminated.
+
+        A task of a gang that was replaced on another machine under the same attempt is none.
+        """
         remaining = []
         for victim in reclaim.borrowed:
             job = self._ledger.state.jobs.get(victim.job)
             placed = job.placements.get(victim.task) if job is not None else None
-            if placed is not None and placed.attempt == victim.attempt:
+            if (
+                placed is not None
+                and placed.attempt == victim.attempt
+                and placed.machine == reclaim.machine
+            ):
                 remaining.append(placed)
         return remaining
 
@@ -139,7 +145,7 @@
 
     def is_chosen(self, placed: Placement) -> bool:
         """Whether the task is the victim of a reclaim that has not sent its stops."""
-        return (placed.job.number, placed.task, placed.attempt) in self._chosen
+        return placed in self._chosen
 
     def will_stop(self, placed: Placement) -> bool:
         """Whether the task was commanded to stop, or will be by a reclaim."""
--- a/tests/test_placement_identity.py
+++ b/tests/test_placement_identity.py
@@ -8,15 +8,21 @@
 
 from collections import Counter
 from functools import partial
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import pytest
 
 from flaxtally.cluster.messages import RELAYED_COMMAND_KIND
 from flaxtally.cluster.peer_links import PeerLinks
 from flaxtally.fakes.worker import Worker
+from flaxtally.leader.reclaim.open_reclaims import OpenReclaim, OpenReclaims
+from flaxtally.ledger.cluster_state import ClusterState
+from flaxtally.ledger.reclaims import BorrowedAttempt, Reclaim
 from flaxtally.protocol import wire
 
+from .ledger_records import record
 from .scenarios import change_leader, wait_for_leader
 from .simulated_cluster import GANG_WAIT_S, NODES, SimulatedCluster, batch, gang, spec
 
@@ -197,6 +203,30 @@
     assert copies
 
 
+def test_victim_of_a_reclaim_is_not_its_replacement_on_another_machine() -> None:
+    # A reclaim stops a gang's task on one machine. A replacement of that task elsewhere has the
+    # same attempt number. It was taken for the victim: the reclaim did not see that its machine
+    # was free, and would have stopped the gang a second time.
+    state = ClusterState()
+    for items in (
+        ("J", 1, 1.0, *msgspec.to_builtins(gang("j-000001", 2))),
+        ("J", 2, 1.0, *msgspec.to_builtins(spec("j-000002"))),
+        ("P", 1, 0, 1, "n-000001", "a"),
+        ("P", 1, 1, 1, "n-000002", "a"),
+    ):
+        state.apply(record(*items), 1)
+    reclaim = Reclaim(1, "crew", 2, "n-000001", 1.0, 9.0, 1, (BorrowedAttempt(1, 0, 1),))
+    reclaims = OpenReclaims(SimpleNamespace(state=state))  # type: ignore[arg-type]
+    reclaims.add(OpenReclaim(reclaim, is_committed=True))
+    victim = state.jobs[1].placements[0]
+    assert reclaims.find_remaining_victims(reclaim) == [victim]
+    assert reclaims.will_stop(victim)
+    state.apply(record("E", 1, 0, 1, False), 1)
+    state.apply(record("P", 1, 0, 1, "n-000003", "a"), 1)
+    assert reclaims.find_remaining_victims(reclaim) == []
+    assert not reclaims.will_stop(state.jobs[1].placements[0])
+
+
 def is_launch(frame: dict[str, Any]) -> bool:
     """Returns whether the frame relays a command to launch a task."""
     commands = (frame["o"] or {}).get("orders", ())
