A reply that can't be read does not count as the answer to a launch

Callers would have seen a cancelled task go on. Found by reading; a worker that keeps to the protocol does not bring it about.

Cause: the answer to a launch was counted by its HTTP status alone. Once all launches are answered, a report without the task proves that it was never launched, if it is to be stopped. With an answer whose body could not be read, or was the report of another machine, a report from before the launch would have served as that proof.

Change: only a report of the machine answers its launches; anything else counts like no answer.

Test: test_reply_that_cannot_be_read_does_not_answer_a_launch, three cases, failed before ("assert 0 == 1").

--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -256,15 +256,17 @@
             placement.launches_in_flight += 1
 
         def on_reply(status: int, body: bytes) -> None:
-            if status in (200, 409):
+            heartbeat = _decode_status(body) if status in (200, 409) else None
+            if heartbeat is not None and heartbeat.machine == machine.name:
                 for placement in launched:
                     placement.launches_in_flight -= 1
                 if machine.is_unresponsive:
                     machine.mark_changed()
                 machine.failed_commands = 0
-                self.handle_reply(controller, body)
             elif pause_count == self.term.pause_count:
                 machine.failed_commands += 1
+            if heartbeat is not None:
+                self._handle_status(controller, heartbeat)
 
         batch = CommandBatch(self.term.number, machine.incarnation, commands)
         self.transport.send(controller, machine.name, machine.address, batch, on_reply)
@@ -272,15 +274,25 @@
     # Replies
 
     def handle_reply(self, controller: str | None, body: bytes) -> None:
-        """Processes the status in a worker's reply, unless a later leader commands the worker."""
+        """Processes the status in a worker's reply, if it can be decoded."""
+        heartbeat = _decode_status(body) if self.term.active else None
+        if heartbeat is not None:
+            self._handle_status(controller, heartbeat)
+
+    def _handle_status(self, controller: str | None, heartbeat: Heartbeat) -> None:
+        """Processes the status in a reply, unless a later leader commands the worker."""
         if not self.term.active:
             return
-        try:
-            heartbeat = _heartbeat_decoder.decode(body)
-        except msgspec.DecodeError as error:
-            log.warning("cannot decode a worker's reply, ignoring it: %s", error)
-            return
         if heartbeat.fencing_token > self.term.number:
             self.term.on_higher_token(heartbeat.machine, heartbeat.fencing_token)
             return
         self._on_heartbeat(controller or "", heartbeat)
+
+
+def _decode_status(body: bytes) -> Heartbeat | None:
+    """Returns the status in a worker's reply; None if it is none, which is logged."""
+    try:
+        return _heartbeat_decoder.decode(body)
+    except msgspec.DecodeError as error:
+        log.warning("cannot decode a worker's reply, ignoring it: %s", error)
+        return None
--- a/tests/test_placement_identity.py
+++ b/tests/test_placement_identity.py
@@ -203,6 +203,31 @@
     assert copies
 
 
+@pytest.mark.parametrize("body", [b"", b"\xff", msgspec.msgpack.encode({"rig": 7})])
+def test_reply_that_cannot_be_read_does_not_answer_a_launch(
+    body: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Once its launches are answered, a task that is to be stopped and was never reported counts as
+    # never launched. A reply without a status proves neither that it was launched nor that not.
+    cluster = SimulatedCluster()
+    cluster.submit(spec("j-000001", spread=False))
+    assert cluster.run_until(lambda: len(cluster.running) == 1, 60), cluster.trace
+    duties = cluster.nodes[wait_for_leader(cluster)].leader.duties
+    placement = duties.term.ledger.state.jobs_by_ref["j-000001"].placements[0]
+    replies: list[Callable[[int, bytes], None]] = []
+    monkeypatch.setattr(duties.commands.transport, "send", lambda *sent: replies.append(sent[-1]))
+    duties.commands.launch_task(placement)
+    assert cluster.run_until(lambda: bool(replies), 1)
+    assert placement.launches_in_flight == 1
+    replies[0](200, body)
+    assert placement.launches_in_flight == 1
+    duties.commands.launch_task(placement)
+    assert cluster.run_until(lambda: len(replies) > 1, 1)
+    worker = cluster.workers[placement.machine]
+    replies[-1](200, msgspec.msgpack.encode(worker.report()))
+    assert placement.launches_in_flight == 1
+
+
 def test_victim_of_a_reclaim_is_not_its_replacement_on_another_machine() -> None:
     # A reclaim stops a gang's task on one machine. A replacement of that task elsewhere has the
     # same attempt number. It was taken for the victim: the reclaim did not see that its machine
