An authority needs no end of its own; a test's repeated steps are one function

Need: a term's authority is assumed only while the election says that this controller leads in that term, and no controller leads a term again after it stepped down. So the flag that the term's end set could never decide. Three tests of common outages spelt the same steps.

Change: Authority.end and its flag are gone. The steps are start_outage, which also checks in each test that the outage does not count as common before it begins.

--- a/flaxtally/leader/authority.py
+++ b/flaxtally/leader/authority.py
@@ -46,7 +46,6 @@
         self._term = term
         self._leadership = leadership
         self._ledger = ledger
-        self._is_over = False
         self.may_be_superseded = False
         """Whether another controller may lead by now: see `LeaderElection.may_be_superseded`."""
         self.is_suspended = False
@@ -55,10 +54,6 @@
         """How often the process was paused, pauses included that are too short to suspend it."""
         self._was_denied = False
 
-    def end(self) -> None:
-        """Ends the term."""
-        self._is_over = True
-
     def on_short_pause(self) -> None:
         """Records a pause of the process: confirmations under way are asked for again."""
         self._short_pause_count += 1
@@ -71,8 +66,7 @@
         """
         leadership = self._leadership
         return (
-            not self._is_over
-            and not self.is_suspended
+            not self.is_suspended
             and not self.may_be_superseded
             and leadership.is_leader
             and leadership.term == self._term
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -83,7 +83,6 @@
         """Ends the term: replies that arrive later are ignored."""
         self.active = False
         self.is_over = True
-        self.authority.end()
 
     def request_pass(self) -> None:
         """Asks the scheduler for a pass over the pending jobs."""
--- a/tests/test_common_outage.py
+++ b/tests/test_common_outage.py
@@ -2,11 +2,32 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from .scenarios import term, wait_for_leader
 from .simulated_cluster import NODES, SimulatedCluster
 
+if TYPE_CHECKING:
+    from flaxtally.cluster.leader_election import LeaderElection
+
+
+def start_outage(
+    cluster: SimulatedCluster, leader: str, for_s: float, until_s: float
+) -> LeaderElection:
+    """Starts an outage of the store; returns the leader's election `until_s` into the outage.
+
+    Before the outage the leader must not take the store for down for all; then it must.
+    """
+    election = cluster.nodes[leader].election
+    cluster.run(3)
+    assert not election.is_store_down_for_all
+    cluster.start_state_outage(for_s)
+    cluster.run(until_s)
+    assert election.is_store_down_for_all
+    return election
+
 
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("fault", ["refused", "silent", "slow"])
@@ -15,15 +36,10 @@
     # counted for longer than it takes a peer to take over, the leader would act beside it.
     cluster = SimulatedCluster(seed)
     former = wait_for_leader(cluster)
-    election = cluster.nodes[former].election
     others = [cluster.ip(name) for name in NODES if name != former]
     if fault == "slow":
         cluster.slow_down_links(0.2, 60.0)
-    cluster.run(3)
-    assert not election.is_store_down_for_all
-    cluster.start_state_outage(8.0)
-    cluster.run(7.9)
-    assert election.is_store_down_for_all
+    election = start_outage(cluster, former, for_s=8.0, until_s=7.9)
     # From now on the store refuses only the leader.
     cluster.refuse(former, 30.0)
     if fault == "refused":
@@ -44,11 +60,7 @@
     # counts is the age of its own frame that they reply to.
     cluster = SimulatedCluster()
     former = wait_for_leader(cluster)
-    election = cluster.nodes[former].election
-    cluster.run(3)
-    cluster.start_state_outage(20.0)
-    cluster.run(5)
-    assert election.is_store_down_for_all
+    election = start_outage(cluster, former, for_s=20.0, until_s=5.0)
     others = [cluster.ip(name) for name in NODES if name != former]
     cluster.freeze(former, 0.95)
     cluster.run(0.2)
@@ -61,11 +73,7 @@
     # Its earlier process may have taken over before the outage; nobody else might know.
     cluster = SimulatedCluster()
     former = wait_for_leader(cluster)
-    election = cluster.nodes[former].election
-    cluster.run(3)
-    cluster.start_state_outage(30.0)
-    cluster.run(5)
-    assert election.is_store_down_for_all
+    election = start_outage(cluster, former, for_s=30.0, until_s=5.0)
     cluster.crash(next(name for name in NODES if name != former), restart_after_s=1.0)
     cluster.run(10)
     assert not election.list_unreachable_peers()
