The stops of a reclaim have their case beside a former leader

Change: the test of stops by a former leader also plays a reclaim, of an array's task and of a gang's.

--- a/tests/test_superseded_leader.py
+++ b/tests/test_superseded_leader.py
@@ -15,6 +15,8 @@
 
 from flaxtally.clients.call_queue import MAX_CONNECTIONS
 from flaxtally.leader.autoscaling import replica_moves
+from flaxtally.leader.reclaim.open_reclaims import OpenReclaim
+from flaxtally.ledger.reclaims import BorrowedAttempt, Reclaim
 from flaxtally.planning.fleet import Pool
 from flaxtally.planning.machine_index import MachineIndex
 from flaxtally.planning.provisioning import ProvisionDecision
@@ -314,6 +316,20 @@
     cluster.nodes[node].leader.duties.gang_scheduler.stop_gang(job, "test")
 
 
+def stop_victim_of_reclaim(cluster: SimulatedCluster, node: str, task: str) -> None:
+    """Has the controller take back the capacity that the task uses, by an open reclaim."""
+    placement = find_placement(cluster, node, task)
+    victim = BorrowedAttempt(placement.job.number, placement.task, placement.attempt)
+    now = cluster.sim.hosts[cluster.ip(node)].wall()
+    reclaim = Reclaim(
+        1, "crew", placement.job.number, placement.machine, now, now + 10.0, 1, (victim,)
+    )
+    duties = cluster.nodes[node].leader.duties
+    entry = OpenReclaim(reclaim, is_committed=True)
+    duties.quota_reclaim.open_reclaims.add(entry)
+    duties.quota_reclaim._stop_victims(entry, is_forced=False)
+
+
 def find_placement(cluster: SimulatedCluster, node: str, task: str) -> Placement:
     ref, _, number = task.partition("/")
     job = cluster.nodes[node].leader.state.jobs_by_ref[ref]
@@ -328,6 +344,8 @@
         (heed_preemption_notice, "j-000200/0"),
         (mark_machine_slow, "j-000200/0"),
         (stop_gang, "j-000300/0"),
+        (stop_victim_of_reclaim, "j-000200/0"),
+        (stop_victim_of_reclaim, "j-000300/0"),
     ],
 )
 def test_leader_stops_no_task_that_its_successor_took_over(
