--- a/tests/test_lending_run.py
+++ b/tests/test_lending_run.py
@@ -9,17 +9,22 @@
 
 import pytest
 
+from .free_ports import find_free_ports
+
 pytestmark = pytest.mark.real_processes
 
 ROOT = Path(__file__).resolve().parent.parent
-PORT = 24300
-SHORT_RUN_OPTIONS = ["--seconds=24", "--swap-every=3", "--fault-every=7", f"--port={PORT}"]
+SHORT_RUN_OPTIONS = ["--seconds=24", "--swap-every=3", "--fault-every=7"]
 
 
 def run(folder: Path, *options: str) -> subprocess.CompletedProcess[str]:
     words = [sys.executable, "-m", "flaxtally", "emulate", "lending", f"--out={folder}"]
     return subprocess.run(
-        [*words, *SHORT_RUN_OPTIONS, *options], cwd=ROOT, capture_output=True, text=True, timeout=90
+        [*words, f"--port={find_free_ports()}", *SHORT_RUN_OPTIONS, *options],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=90,
     )
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -21,6 +21,7 @@
 from flaxtally.runtime.loop import Loop
 
 from . import production
+from .free_ports import HOST, find_free_ports
 from .simulated_cluster import gang, spec
 
 if TYPE_CHECKING:
@@ -29,7 +30,6 @@
 pytestmark = pytest.mark.real_processes
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST, PORT = "127.0.0.1", 25500
 NODES = ("controller-0", "controller-1", "controller-2")
 CONDITION_TIMEOUT_S = 60.0
 ELECTED_PATTERN = r"event=(?:lead|leader_elected) node=\S+ term=(\d+)"
@@ -41,8 +41,10 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self._first_port = find_free_ports()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._start("demo", ROOT, ["flaxtally", "demo", str(folder), "--port", str(PORT)])
+        port = str(self._first_port)
+        self._start("demo", ROOT, ["flaxtally", "demo", str(folder), "--port", port])
         wait_until(lambda: (folder / "job.json").exists())
 
     def _start(self, name: str, sources: Path, words: list[str]) -> None:
@@ -93,8 +95,9 @@
         return str(self._command("status", ref)[1].get("stage"))
 
     def _command(self, verb: str, subject: str) -> tuple[int, dict[str, object]]:
+        host, port = demo.get_user_address(self._first_port, 0)
         process = subprocess.run(
-            [sys.executable, "-m", "flaxtally", verb, subject, "--to", f"{HOST}:{PORT + 2}"],
+            [sys.executable, "-m", "flaxtally", verb, subject, "--to", f"{host}:{port}"],
             cwd=ROOT,
             capture_output=True,
             text=True,
@@ -111,7 +114,7 @@
             statuses.append(reply.status)
             loop.stop()
 
-        client = Client(loop, (HOST, PORT + 1))
+        client = Client(loop, (HOST, self._first_port + 1))
         client.request("POST", wire.TERMINATE, wire.TerminateRequest([machine]), 5.0, on_reply)
         loop.run()
         assert statuses == [200]
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -16,6 +16,8 @@
 
 import pytest
 
+from .free_ports import RANGE_LENGTH, find_free_ports
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -24,7 +26,6 @@
 ROOT = Path(__file__).resolve().parent.parent
 FOLDER, PORT = "target/demo", 21000
 """The folder and the first port that README's commands use."""
-OTHER_PORT = 24500
 TIMEOUT_S = 60.0
 
 
@@ -36,13 +37,13 @@
     return [line.partition("#")[0].split() for line in lines]
 
 
-def adapt_command(words: list[str], folder: Path) -> list[str]:
+def adapt_command(words: list[str], folder: Path, first_port: int) -> list[str]:
     """Return a command with this test's folder and ports."""
-    port_prefix = str(PORT // 100)
+    port_prefix = str(PORT // RANGE_LENGTH)
     return [
         re.sub(
             rf":{port_prefix}(\d\d)\b",
-            rf":{OTHER_PORT // 100}\1",
+            rf":{first_port // RANGE_LENGTH}\g<1>",
             word.replace(FOLDER, str(folder)),
         )
         for word in words
@@ -99,10 +100,11 @@
 
 def test_readme_commands_lead_to_a_cancelled_job(processes: Processes, tmp_path: Path) -> None:
     folder = tmp_path / "demo"
-    commands = [adapt_command(words, folder) for words in readme_commands()]
+    first_port = find_free_ports()
+    commands = [adapt_command(words, folder, first_port) for words in readme_commands()]
     demo, serve, submit, status, cancel = commands[:5]
     assert [words[1] for words in commands[:5]] == ["demo", "serve", "submit", "status", "cancel"]
-    processes.start([*demo, "--port", str(OTHER_PORT)])
+    processes.start([*demo, "--port", str(first_port)])
     assert wait_until(lambda: (folder / "job.json").exists()), processes.logs()
     for number in range(3):
         config = serve[-1].replace("controller-0", f"controller-{number}")
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -13,10 +13,11 @@
 import psutil
 import pytest
 
+from .free_ports import find_free_ports
+
 pytestmark = pytest.mark.real_processes
 
 ROOT = Path(__file__).resolve().parent.parent
-PORT = 24100
 SMALLEST_RUN_OPTIONS = [
     "--workers=12",
     "--seconds=3",
@@ -31,7 +32,7 @@
 
 def command(folder: Path, *options: str) -> list[str]:
     words = [sys.executable, "-m", "flaxtally", "emulate", "scale", f"--out={folder}"]
-    return [*words, f"--port={PORT}", *SMALLEST_RUN_OPTIONS, *options]
+    return [*words, f"--port={find_free_ports()}", *SMALLEST_RUN_OPTIONS, *options]
 
 
 def run(folder: Path, *options: str) -> subprocess.CompletedProcess[str]:
