A gang's search for machines is built once; tests count launches by one function

Need: the two searches for lost tasks took the same five arguments, and two tests counted launches in the same lines.

Change: GangMachineChooser.make_search builds the parameters, which both searches take; tests/scenarios.py has count_launches.

Measured: the tests of links, gangs and placements pass.

--- a/flaxtally/leader/gang_scheduling/gang_machines.py
+++ b/flaxtally/leader/gang_scheduling/gang_machines.py
@@ -48,62 +48,47 @@
         }
         self._max_fetch_s = MAX_FETCH_FRACTION * attempts.timeouts.wait_s
 
-    def choose_machines(
+    def make_search(
         self,
         job: Job,
-        task_count: int,
         index: MachineIndex,
         machine_filter: MachineFilter | None,
         *,
         reserve_for_gpus: bool,
-    ) -> GangMachines | None:
-        """Returns machines for the missing tasks of the gang, or None if not all can be placed.
+    ) -> GangMachineSearch:
+        """Returns the parameters of a search for machines for the gang.
 
         `reserve_for_gpus`: what GPU tasks need besides their GPUs stays reserved for them.
         """
+        return GangMachineSearch(
+            job.spec,
+            job.number,
+            index,
+            self._jobs.gpu_reservations if reserve_for_gpus else None,
+            self.policy.sample,
+            machine_filter,
+        )
+
+    def choose_machines(
+        self, job: Job, task_count: int, search: GangMachineSearch
+    ) -> GangMachines | None:
+        """Returns machines for the missing tasks of the gang, or None if not all can be placed."""
         if not self._jobs.is_within_limit(job.spec, task_count):
             return None
-        search = self._make_search(job, index, machine_filter, reserve_for_gpus=reserve_for_gpus)
         if not job.placements:
             return self._choose_for_all(search)
         return self._choose_for_missing(
             job, task_count, search, self._orphans.find_excluded_machines(job)
         )
 
-    def will_have_machines(
-        self,
-        job: Job,
-        task_count: int,
-        index: MachineIndex,
-        machine_filter: MachineFilter | None,
-        *,
-        reserve_for_gpus: bool,
-    ) -> bool:
+    def will_have_machines(self, job: Job, task_count: int, search: GangMachineSearch) -> bool:
         """Whether the missing tasks fit once machines have forgotten exited tasks of the gang."""
         forgetting = self._orphans.find_forgetting_machines(job)
         if not forgetting or not self._jobs.is_within_limit(job.spec, task_count):
             return False
-        search = self._make_search(job, index, machine_filter, reserve_for_gpus=reserve_for_gpus)
         still_excluded = self._orphans.find_excluded_machines(job) - forgetting
         return self._choose_for_missing(job, task_count, search, still_excluded) is not None
 
-    def _make_search(
-        self,
-        job: Job,
-        index: MachineIndex,
-        machine_filter: MachineFilter | None,
-        *,
-        reserve_for_gpus: bool,
-    ) -> GangMachineSearch:
-        return GangMachineSearch(
-            job.spec,
-            job.number,
-            index,
-            self._jobs.gpu_reservations if reserve_for_gpus else None,
-            self.policy.sample,
-            machine_filter,
-        )
-
     def _choose_for_missing(
         self, job: Job, task_count: int, search: GangMachineSearch, excluded_machines: set[str]
     ) -> GangMachines | None:
--- a/flaxtally/leader/gang_scheduling/gang_scheduler.py
+++ b/flaxtally/leader/gang_scheduling/gang_scheduler.py
@@ -83,17 +83,15 @@
         if action not in (Action.PLACE, Action.REPLACE):
             return 0
         missing = [task for task in range(job.spec.tasks) if task not in job.placements]
-        choice = self._machine_chooser.choose_machines(
-            job, len(missing), index, machine_filter, reserve_for_gpus=reserve_for_gpus
-        )
+        chooser = self._machine_chooser
+        search = chooser.make_search(job, index, machine_filter, reserve_for_gpus=reserve_for_gpus)
+        choice = chooser.choose_machines(job, len(missing), search)
         if choice is not None:
             attempt = job.newest_attempt + (action is Action.PLACE)
             self._propose_placements(job, attempt, missing, choice.machines)
             return len(missing)
         self._no_capacity_until[job.number] = now + self.policy.retry
-        if action is Action.REPLACE and not self._machine_chooser.will_have_machines(
-            job, len(missing), index, machine_filter, reserve_for_gpus=reserve_for_gpus
-        ):
+        if action is Action.REPLACE and not chooser.will_have_machines(job, len(missing), search):
             self._stops.abandon_gang(job, "no capacity for a lost task")
         return 0
 
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
+from flaxtally.fakes.worker import Worker
 from flaxtally.protocol import wire
 
 from .simulated_cluster import SimulatedCluster, batch, spec
@@ -11,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import pytest
+
 
 def start_busy_cluster(
     seed: int = 1,
@@ -90,6 +94,19 @@
             assert cluster.count(ref) == job.tasks, (ref, cluster.query_job(ref))
 
 
+def count_launches(patch: pytest.MonkeyPatch) -> Counter[tuple[str, int]]:
+    """Returns a count of the launches that workers execute from now on, by task and attempt."""
+    launched: Counter[tuple[str, int]] = Counter()
+    launch = Worker._launch
+
+    def count_launch(worker: Worker, command: wire.Command) -> None:
+        launched[command.task, command.attempt] += 1
+        launch(worker, command)
+
+    patch.setattr(Worker, "_launch", count_launch)
+    return launched
+
+
 def cut_off_by_refusals(cluster: SimulatedCluster, node: str, for_s: float) -> None:
     """The state service refuses the controller alone, and so do its peers, as behind a filter."""
     cluster.refuse(node, for_s)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,21 +2,25 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from flaxtally.api.command_relay import CommandRelay
 from flaxtally.cluster.peer_links import PeerLinks
-from flaxtally.fakes.worker import Worker
 
-from .scenarios import check_final_state, cut_controllers, start_busy_cluster, term, wait_for_leader
+from .scenarios import (
+    check_final_state,
+    count_launches,
+    cut_controllers,
+    start_busy_cluster,
+    term,
+    wait_for_leader,
+)
 from .simulated_cluster import SimulatedCluster, batch
 
 if TYPE_CHECKING:
     import pytest
 
     from flaxtally.cluster.messages import RelayedCommand
-    from flaxtally.protocol import wire
 
 
 def test_command_that_arrives_on_two_paths_is_executed_once(
@@ -24,19 +28,14 @@
 ) -> None:
     # While a link counts as down, frames are sent over it and through the key-value store. A launch
     # that arrived again after the machine had forgotten the attempt started the attempt again.
-    launched: Counter[tuple[str, int]] = Counter()
-    launch, send = Worker._launch, PeerLinks.send
-
-    def count_launch(worker: Worker, command: wire.Command) -> None:
-        launched[command.task, command.attempt] += 1
-        launch(worker, command)
+    launched = count_launches(monkeypatch)
+    send = PeerLinks.send
 
     def send_twice(peers: PeerLinks, node: str, frame: dict[str, Any]) -> None:
         send(peers, node, frame)
         if frame["k"] == "ord":
             peers.later(4.0, send, peers, node, frame)
 
-    monkeypatch.setattr(Worker, "_launch", count_launch)
     monkeypatch.setattr(PeerLinks, "send", send_twice)
     cluster = SimulatedCluster()
     for number in range(8):
--- a/tests/test_placement_identity.py
+++ b/tests/test_placement_identity.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from functools import partial
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
@@ -16,19 +15,20 @@
 
 from flaxtally.cluster.messages import RELAYED_COMMAND_KIND
 from flaxtally.cluster.peer_links import PeerLinks
-from flaxtally.fakes.worker import Worker
 from flaxtally.leader.reclaim.open_reclaims import OpenReclaim, OpenReclaims
 from flaxtally.ledger.cluster_state import ClusterState
 from flaxtally.ledger.reclaims import BorrowedAttempt, Reclaim
 from flaxtally.protocol import wire
 
 from .ledger_records import record
-from .scenarios import change_leader, wait_for_leader
+from .scenarios import change_leader, count_launches, wait_for_leader
 from .simulated_cluster import GANG_WAIT_S, NODES, SimulatedCluster, batch, gang, spec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flaxtally.fakes.worker import Worker
+
 GANG = "j-000002"
 COMMAND_DELAY_S = 9.0
 """Seconds for which commands to a machine are held up."""
@@ -163,13 +163,8 @@
     # A relayed command may arrive twice, directly and through the key-value store. A controller
     # that was restarted in between did not know that it had executed the first copy. A launch was
     # then executed again, after the machine had forgotten the finished attempt.
-    launched: Counter[tuple[str, int]] = Counter()
     copies: list[Callable[[], None]] = []
-    launch, send = Worker._launch, PeerLinks.send
-
-    def count_launch(worker: Worker, command: wire.Command) -> None:
-        launched[command.task, command.attempt] += 1
-        launch(worker, command)
+    send = PeerLinks.send
 
     def keep_copy(peers: PeerLinks, node: str, frame: dict[str, Any]) -> None:
         send(peers, node, frame)
@@ -179,7 +174,7 @@
     cluster = SimulatedCluster()
     cluster.submit(spec("j-000001", tasks=4))
     assert cluster.run_until(lambda: len(cluster.running) == 4, 60), cluster.trace
-    monkeypatch.setattr(Worker, "_launch", count_launch)
+    launched = count_launches(monkeypatch)
     monkeypatch.setattr(PeerLinks, "send", keep_copy)
     for number in range(8):
         cluster.submit(batch(f"j-{100 + number:06d}", 2), run_time=1.0, node=number)
