Stops that wait for confirmation are a module of their own

Change: leader/confirmed_stops.py owns the stops whose confirmation is requested; the commands' queue sends them. The test of random faults follows the new name.

--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import logging
-from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import msgspec
 
 from ..protocol import workers
 from ..protocol.workers import Command, CommandBatch, Heartbeat
+from .confirmed_stops import ConfirmedStops, UnconfirmedStop
 from .stopping_tasks import StoppingTasks
 from .term import Term, TermActor
 
@@ -75,21 +75,6 @@
         )
 
 
-class _UnconfirmedStop(NamedTuple):
-    """A stop command that is sent once leadership is confirmed."""
-
-    placement: Placement
-    grace_s: float
-    is_first: bool
-    """Whether the task did not count as stopping before."""
-
-    @property
-    def is_obsolete(self) -> bool:
-        """Whether the attempt was proven finished while the stop was not confirmed."""
-        placement = self.placement
-        return placement.job.placements.get(placement.task) is not placement
-
-
 class CommandSender(TermActor):
     """Queues and sends commands, and tracks which launch commands may still arrive.
 
@@ -114,8 +99,7 @@
         self.stopping_tasks = StoppingTasks(term)
         self._outbox: dict[str, list[_QueuedCommand]] = {}
         """The commands to be sent, by machine."""
-        self._unconfirmed_stops: list[_UnconfirmedStop] = []
-        """The stops whose confirmation is to be requested."""
+        self._confirmed_stops = ConfirmedStops(term, self.stopping_tasks, self._enqueue_stop)
 
     # Commands
 
@@ -132,7 +116,7 @@
         self._outbox.setdefault(machine.name, []).append(_QueuedCommand(command, launched))
 
     def _schedule_sending(self) -> None:
-        if not self._outbox and not self._unconfirmed_stops:
+        if not self._outbox and not self._confirmed_stops.is_waiting:
             self.runtime.soon(self._send_queued)
 
     def launch_task(self, placement: Placement) -> None:
@@ -152,19 +136,18 @@
         if placement.machine not in self.fleet.machines:
             return
         placement.command_sent_at = self.runtime.now()
-        stop = _UnconfirmedStop(placement, grace_s, is_first=placement.stopping_at is None)
+        stop = UnconfirmedStop(placement, grace_s, is_first=placement.stopping_at is None)
         self.stopping_tasks.mark(placement)
         if placement.job.is_cancellation_committed:
-            self._enqueue_stop(stop)
+            self._enqueue_stop(placement, grace_s)
         else:
             self._schedule_sending()
-            self._unconfirmed_stops.append(stop)
+            self._confirmed_stops.add(stop)
 
-    def _enqueue_stop(self, stop: _UnconfirmedStop) -> None:
-        placement = stop.placement
+    def _enqueue_stop(self, placement: Placement, grace_s: float) -> None:
         machine = self.fleet.machines.get(placement.machine)
         if machine is not None:
-            self.enqueue(machine, workers.stop(placement.name, placement.attempt, stop.grace_s))
+            self.enqueue(machine, workers.stop(placement.name, placement.attempt, grace_s))
 
     def stop_best_effort(self, machine: Machine) -> None:
         """Stops the machine's best-effort tasks that write checkpoints; the others may finish."""
@@ -195,13 +178,13 @@
 
     def resume(self) -> None:
         """Sends the commands queued during a pause, once leadership is confirmed."""
-        if self._outbox or self._unconfirmed_stops:
+        if self._outbox or self._confirmed_stops.is_waiting:
             self._send_queued()
 
     def _send_queued(self) -> None:
         if self.term.authority.is_suspended:
             return
-        self._confirm_stops()
+        self._confirmed_stops.request_confirmation()
         outbox = self._outbox
         self._outbox = {}
         for name, queued in outbox.items():
@@ -214,25 +197,6 @@
                     [queued_command for queued_command in queued if not queued_command.is_obsolete],
                 )
 
-    def _confirm_stops(self) -> None:
-        stops = self._unconfirmed_stops
-        self._unconfirmed_stops = []
-        if stops:
-            self.term.authority.confirm(
-                partial(self._send_stops, stops), partial(self._withdraw_stops, stops)
-            )
-
-    def _send_stops(self, stops: list[_UnconfirmedStop]) -> None:
-        for stop in stops:
-            if not stop.is_obsolete:
-                self._enqueue_stop(stop)
-
-    def _withdraw_stops(self, stops: list[_UnconfirmedStop]) -> None:
-        """Forgets stops that this controller may not be entitled to send: nothing was sent."""
-        for stop in stops:
-            if stop.is_first and not stop.is_obsolete:
-                self.stopping_tasks.unmark_unless_saving(stop.placement)
-
     def _send_in_batches(self, machine: Machine, queued: list[_QueuedCommand]) -> None:
         for start in range(0, len(queued), MAX_BATCH_COMMANDS):
             batch = queued[start : start + MAX_BATCH_COMMANDS]
--- a/tests/test_leader_authority.py
+++ b/tests/test_leader_authority.py
@@ -13,7 +13,7 @@
 
 from flaxtally.clients.call_queue import CallQueue
 from flaxtally.cluster.leader_key import LEADER_KEY, parse_leader_record
-from flaxtally.leader.commands import CommandSender
+from flaxtally.leader.confirmed_stops import ConfirmedStops
 
 from .scenarios import (
     check_final_state,
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:
     from flaxtally.clients.call_queue import CloudCall
-    from flaxtally.leader.commands import _UnconfirmedStop
+    from flaxtally.leader.confirmed_stops import UnconfirmedStop
     from flaxtally.protocol import wire
 
     from .simulated_cluster import SimulatedCluster
@@ -52,7 +52,7 @@
         transact, send_call, send_stops = (
             cluster.state.transact,
             CallQueue._send,
-            CommandSender._send_stops,
+            ConfirmedStops._send_stops,
         )
 
         def transact_and_note_leader(transaction: wire.Transaction) -> tuple[int, object]:
@@ -64,13 +64,13 @@
                 self._check(queue._runtime.ip, call.path)  # type: ignore[attr-defined]
             send_call(queue, call)
 
-        def check_stops(sender: CommandSender, stops: list[_UnconfirmedStop]) -> None:
-            self._check(sender.runtime.ip, "stops")  # type: ignore[attr-defined]
-            send_stops(sender, stops)
+        def check_stops(confirmed: ConfirmedStops, stops: list[UnconfirmedStop]) -> None:
+            self._check(confirmed.runtime.ip, "stops")  # type: ignore[attr-defined]
+            send_stops(confirmed, stops)
 
         patch.setattr(cluster.state, "transact", transact_and_note_leader)
         patch.setattr(CallQueue, "_send", check_call)
-        patch.setattr(CommandSender, "_send_stops", check_stops)
+        patch.setattr(ConfirmedStops, "_send_stops", check_stops)
 
     def _note_leader(self) -> None:
         row = self._cluster.state.rows.get(LEADER_KEY)
