Known red: a gang that needs a GPU machine beside others waits for ever

What was seen: four gangs and six arrays of GPU tasks, no faults. A gang of four tasks of ten cores in one zone fits on the zone's three machines without GPUs and one with GPUs, of which the cloud has three in each zone. The plan requests a machine without GPUs every 40 s, which is refused, and nothing else; after 13 simulated minutes nothing had changed.

The cause was not looked for.

--- a/tests/test_gang_faults.py
+++ b/tests/test_gang_faults.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import random
 from typing import TYPE_CHECKING
 
 import pytest
@@ -286,3 +287,28 @@
             ref,
             cluster.trace[-40:],
         )
+
+
+def test_gang_that_needs_gpu_machines_is_not_left_waiting() -> None:
+    # Without any fault: a gang in one zone that fits on the zone's machines without GPUs and one
+    # with GPUs waits for ever beside arrays of GPU tasks. The cloud has such a machine, but the
+    # plan requests only machines without GPUs, which are refused (issue 52).
+    rng = random.Random(9)
+    cluster = SimulatedCluster(9, capacity=3)
+    cluster.submit(spec("j-000009", tasks=3))
+    cluster.run(15.0)
+    for number in range(4):
+        job = gang(
+            f"j-{100 + number:06d}",
+            rng.choice([3, 4, 6]),
+            cores=rng.choice([2.0, 6.0, 10.0]),
+            image=f"img-{rng.randrange(4)}",
+            image_gb=6.0,
+            one_zone=rng.random() < 0.5,
+        )
+        cluster.after(rng.uniform(0.0, 40.0), cluster.submit, job, rng.uniform(2.0, 12.0), number)
+    for number in range(6):
+        array = batch(f"j-{300 + number:06d}", 3)
+        cluster.after(rng.uniform(0.0, 50.0), cluster.submit, array, 5.0)
+    cluster.run(45.0)
+    check_final_state(cluster, 150.0)
