The emulator writes the map of cells once, before any controller starts

Cause: the coordinator wrote the file again before the start of each controller. A controller that was starting found it truncated.

Change: the file is written once, before the first start.

--- a/flaxtally/emulator/coordinator.py
+++ b/flaxtally/emulator/coordinator.py
@@ -137,8 +137,7 @@
             for number in range(self._plan.worker_processes):
                 self._start_child(plan_file, WORKERS, number)
             self._start_child(plan_file, USERS, 0)
-            for number, name in enumerate(self._plan.nodes):
-                self._start_controller(number, name)
+            self._start_controllers()
             self.every(SAMPLE_INTERVAL_S, self._sample)
             self._loop.run()
         finally:
@@ -153,16 +152,22 @@
         arguments = ["-m", "flaxtally.emulator.child_process", str(plan_file), role, str(number)]
         self.processes.start(name, arguments, self._folder / f"{name}.log")
 
-    def _start_controller(self, number: int, name: str) -> None:
-        settings = self._folder / f"{name}.toml"
-        settings.write_text(render_settings(self._plan, number), encoding="utf-8")
-        arguments = ["-m", "flaxtally", "serve", "--config", str(settings)]
+    def _start_controllers(self) -> None:
+        options = []
         if self._plan.policy is not None:
-            arguments += ["--policy", self._plan.policy]
+            options += ["--policy", self._plan.policy]
         if self._plan.cells > 1:
+            # Written before any controller starts: all of them read it.
             cells = self._folder / "cells.toml"
             cells.write_text(render_deploy_file(self._plan), encoding="utf-8")
-            arguments += ["--cells", str(cells)]
+            options += ["--cells", str(cells)]
+        for number, name in enumerate(self._plan.nodes):
+            self._start_controller(number, name, options)
+
+    def _start_controller(self, number: int, name: str, options: list[str]) -> None:
+        settings = self._folder / f"{name}.toml"
+        settings.write_text(render_settings(self._plan, number), encoding="utf-8")
+        arguments = ["-m", "flaxtally", "serve", "--config", str(settings), *options]
         self.processes.start(name, arguments, self._folder / f"{name}.log")
 
     def _fail(self, failure: Exception) -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -17,6 +17,7 @@
 from flaxtally.cluster.frame_codec import encode_frame
 from flaxtally.emulator import limits
 from flaxtally.emulator.controller_settings import create_settings, render_deploy_file
+from flaxtally.emulator.coordinator import Coordinator
 from flaxtally.emulator.fake_environment import RemoteCloud
 from flaxtally.emulator.fit import fit
 from flaxtally.emulator.history import History
@@ -47,6 +48,7 @@
 from flaxtally.fakes.settings_text import settings_text
 from flaxtally.protocol import wire
 from flaxtally.runtime.http import Client, Reply, Request, Server
+from flaxtally.runtime.loop import Loop
 from flaxtally.runtime.token_bucket import TokenBucket
 from flaxtally.settings import parse
 
@@ -559,3 +561,24 @@
     stream.on_data(b"\xff\xff\xff\xff nonsense")
     assert stream.closed
     assert len(caplog.records) == 1
+
+
+def test_deploy_file_is_not_rewritten_while_controllers_read_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The file was written again before the start of each controller. One that was starting could
+    # find it empty, and exited with status 2.
+    plan = msgspec.structs.replace(PLAN, cells=2)
+    loop = Loop()
+    coordinator = Coordinator(loop, plan, tmp_path, lambda _: None)
+    written_at: list[int] = []
+
+    def start(name: str, arguments: list[str], _: Path) -> None:
+        assert arguments[-2:] == ["--cells", str(tmp_path / "cells.toml")], name
+        written_at.append((tmp_path / "cells.toml").stat().st_mtime_ns)
+
+    monkeypatch.setattr(coordinator.processes, "start", start)
+    coordinator._start_controllers()
+    loop.close()
+    assert len(written_at) == len(plan.nodes) > 1
+    assert len(set(written_at)) == 1
