Whether a placement is current, a lease due or a port free is asked in one place each

"Is it still the task's placement?" was spelt in four places, two of them classes that this change parted. Placement.is_current serves all. 2. The fake worker's late commands repeated the check of its lease a third time: _expire_lease_if_due. 3. tests/free_ports.py bound a socket as the emulator's check of its ports does: it calls emulator.limits.check_port_is_free now. 4. A relayed command was passed together with a part of itself: the check of status queries is where the others are.

Behaviour is the same, and no check or expectation changed.

--- a/flaxtally/api/command_relay.py
+++ b/flaxtally/api/command_relay.py
@@ -155,9 +155,7 @@
         Late commands are harmless: they contain the fencing token and the worker's incarnation.
         Commands that this process may have sent before are ignored.
         """
-        if command.commands is not None and not self._should_execute(
-            sender, command, command.commands
-        ):
+        if not self._should_execute(sender, command):
             return
 
         def on_reply(status: int, body: bytes) -> None:
@@ -171,10 +169,15 @@
 
         self._call_worker(command.address, command.commands, on_reply)
 
-    def _should_execute(self, sender: str, command: RelayedCommand, encoded: EncodedBatch) -> bool:
-        """Whether the commands are of the current term and arrive for the first time."""
+    def _should_execute(self, sender: str, command: RelayedCommand) -> bool:
+        """Whether the commands are of the current term and arrive for the first time.
+
+        True for a status query, which may be repeated.
+        """
+        if command.commands is None:
+            return True
         term = self._election.term
-        if fencing_token_of(encoded) != term:
+        if fencing_token_of(command.commands) != term:
             return False
         if command.receiver_incarnation not in (msgspec.UNSET, self._election.incarnation):
             # An earlier process of this controller may have sent the commands.
--- a/flaxtally/emulator/limits.py
+++ b/flaxtally/emulator/limits.py
@@ -81,11 +81,12 @@
     if plan.ports[-1] > 65535:
         raise LimitError(f"port {plan.ports[-1]} is too high: lower --port or --controllers")
     for port in plan.ports:
-        _check_port_is_free((HOST, port))
-    _check_port_is_free(plan.worker_address(0))
+        check_port_is_free((HOST, port))
+    check_port_is_free(plan.worker_address(0))
 
 
-def _check_port_is_free(address: Address) -> None:
+def check_port_is_free(address: Address) -> None:
+    """Raises `LimitError` if nothing can listen at the address."""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
--- a/flaxtally/fakes/worker.py
+++ b/flaxtally/fakes/worker.py
@@ -131,10 +131,8 @@
         if self.hung:
             self._schedule_heartbeat(self._report_s)
             return
+        self._expire_lease_if_due()
         now, incarnation = self._runtime.now(), self.incarnation
-        if now - self._lease_renewed_at > self._lease_s:
-            self._expire_lease()
-            incarnation = self.incarnation
         self._busy = True
         node = self._controller
 
@@ -172,6 +170,10 @@
         names = sorted(self._nodes)
         return names[(names.index(node) + 1) % len(names)]
 
+    def _expire_lease_if_due(self) -> None:
+        if self._runtime.now() - self._lease_renewed_at > self._lease_s:
+            self._expire_lease()
+
     def _expire_lease(self) -> None:
         """Ends all tasks and starts a new incarnation, as a worker does when its lease expires."""
         for worker_task in list(self.tasks.values()):
@@ -197,8 +199,7 @@
             # The request waits in the hung machine and is executed once the machine continues.
             self._runtime.after(0.5, self._handle_request, request)
             return
-        if self._runtime.now() - self._lease_renewed_at > self._lease_s:
-            self._expire_lease()
+        self._expire_lease_if_due()
         if request.path == wire.WORKER_STATUS:
             request.reply(200, self.report())
             return
@@ -217,8 +218,7 @@
         if self.hung:
             self._runtime.after(0.5, self._execute_late, batch)
             return
-        if self._runtime.now() - self._lease_renewed_at > self._lease_s:
-            self._expire_lease()
+        self._expire_lease_if_due()
         self._execute_batch(batch)
 
     def _execute_batch(self, batch: wire.CommandBatch) -> bool:
--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -69,10 +69,7 @@
     @property
     def is_obsolete(self) -> bool:
         """Whether it launches a placement that was proven finished while it was queued."""
-        placement = self.launched
-        return (
-            placement is not None and placement.job.placements.get(placement.task) is not placement
-        )
+        return self.launched is not None and not self.launched.is_current
 
 
 class CommandSender(TermActor):
@@ -136,13 +133,13 @@
         if placement.machine not in self.fleet.machines:
             return
         placement.command_sent_at = self.runtime.now()
-        stop = UnconfirmedStop(placement, grace_s, is_first=placement.stopping_at is None)
+        is_first = placement.stopping_at is None
         self.stopping_tasks.mark(placement)
         if placement.job.is_cancellation_committed:
             self._enqueue_stop(placement, grace_s)
         else:
             self._schedule_sending()
-            self._confirmed_stops.add(stop)
+            self._confirmed_stops.add(UnconfirmedStop(placement, grace_s, is_first))
 
     def _enqueue_stop(self, placement: Placement, grace_s: float) -> None:
         machine = self.fleet.machines.get(placement.machine)
--- a/flaxtally/leader/confirmed_stops.py
+++ b/flaxtally/leader/confirmed_stops.py
@@ -22,12 +22,6 @@
     is_first: bool
     """Whether the task did not count as stopping before."""
 
-    @property
-    def is_obsolete(self) -> bool:
-        """Whether the attempt was proven finished while the stop was not confirmed."""
-        placement = self.placement
-        return placement.job.placements.get(placement.task) is not placement
-
 
 class ConfirmedStops(TermActor):
     """Owns the stops that wait for confirmation: decisions of the leader that no record commands.
@@ -68,11 +62,12 @@
 
     def _send_stops(self, stops: list[UnconfirmedStop]) -> None:
         for stop in stops:
-            if not stop.is_obsolete:
+            # Otherwise the attempt was proven finished while the stop was not confirmed.
+            if stop.placement.is_current:
                 self._send(stop.placement, stop.grace_s)
 
     def _withdraw_stops(self, stops: list[UnconfirmedStop]) -> None:
         """Forgets stops that this controller may not be entitled to send: nothing was sent."""
         for stop in stops:
-            if stop.is_first and not stop.is_obsolete:
+            if stop.is_first and stop.placement.is_current:
                 self._stopping_tasks.unmark_unless_saving(stop.placement)
--- a/flaxtally/leader/gang_scheduling/gang_scheduler.py
+++ b/flaxtally/leader/gang_scheduling/gang_scheduler.py
@@ -126,7 +126,7 @@
         )
 
     def _on_committed(self, job: Job, proposed: list[Placement]) -> None:
-        current = [placed for placed in proposed if job.placements.get(placed.task) is placed]
+        current = [placed for placed in proposed if placed.is_current]
         for placed in current:
             placed.is_committed = True
         attempt = self._attempts.get_or_create_attempt(job)
--- a/flaxtally/leader/scheduling/scheduler.py
+++ b/flaxtally/leader/scheduling/scheduler.py
@@ -232,7 +232,7 @@
     def _launch_if_current(self, placed: Placement) -> None:
         """Launches a task after the commit, unless its job is cancelled or its machine lost."""
         job = placed.job
-        if job.placements.get(placed.task) is not placed:
+        if not placed.is_current:
             # The machine was removed before the commit.
             return
         placed.is_committed = True
--- a/flaxtally/ledger/placement.py
+++ b/flaxtally/ledger/placement.py
@@ -29,6 +29,11 @@
         """The task's name in log lines: its job's id and its number."""
         return f"{self.job.spec.ref}/{self.task}"
 
+    @property
+    def is_current(self) -> bool:
+        """Whether it is the task's placement now: it was not proven to have ended."""
+        return self.job.placements.get(self.task) is self
+
     @property
     def is_best_effort(self) -> bool:
         """Whether its job has the lowest rank and its tasks run to completion."""
--- a/tests/free_ports.py
+++ b/tests/free_ports.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import random
-import socket
 
-HOST = "127.0.0.1"
+from flaxtally.emulator.limits import LimitError, check_port_is_free
+from flaxtally.emulator.plan import HOST
+
 RANGE_LENGTH = 100
 """Consecutive ports that a test gets. The first one is a multiple of this."""
 LOWEST_PORT, HIGHEST_PORT = 10_000, 20_000
@@ -26,10 +27,8 @@
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
+    try:
+        check_port_is_free((HOST, port))
+    except LimitError:
+        return False
     return True
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -21,7 +21,7 @@
 from flaxtally.runtime.loop import Loop
 
 from . import production
-from .free_ports import HOST, find_free_ports
+from .free_ports import find_free_ports
 from .simulated_cluster import gang, spec
 
 if TYPE_CHECKING:
@@ -114,7 +114,7 @@
             statuses.append(reply.status)
             loop.stop()
 
-        client = Client(loop, (HOST, self._first_port + 1))
+        client = Client(loop, (demo.HOST, self._first_port + 1))
         client.request("POST", wire.TERMINATE, wire.TerminateRequest([machine]), 5.0, on_reply)
         loop.run()
         assert statuses == [200]
