--- a/review/stage-2/stage.py
+++ b/review/stage-2/stage.py
@@ -11,6 +11,7 @@
 import random
 import shlex
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -39,8 +40,8 @@
 NODES = ("hearth-0", "hearth-1", "hearth-2")
 ZONES = ("a", "b")
 REPORT_S, LEASE_S, CANCEL_S = 1.5, 10.0, 30.0
-GANG_WAIT_S, GANG_PEER_S = 20.0, 3.0
-LIST_LAG_S = 2.0
+GANG_WAIT_S, GANG_PEER_S = 50.0, 8.0
+LIST_LAG_S = 4.0
 BOOT_S = 1.5
 """How long a machine boots: "at times machines are up within a second or two"."""
 LISTED_AS_RUNNING_S = 30.0
@@ -346,6 +347,9 @@
             else:
                 self.loop.after(0.25, repeat)
 
+        # Whoever ends the play ends its controllers too.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda *_: sys.exit(NOT_RUN))
         try:
             for node in NODES:
                 self.start_controller(node)
