Logs say who is stopped for whom, by which right, and who takes reserved room

Change: `tasks_preempted` is written at `info`, with the tasks stopped, the task they are stopped for, and the right (rank or guarantee). `reservation_overridden` names a task that is placed on a machine while capacity there is reserved for another one.

--- a/flaxtally/leader/scheduling/preemption.py
+++ b/flaxtally/leader/scheduling/preemption.py
@@ -87,9 +87,19 @@
 
     # Placements
 
-    def on_task_placed(self, key: TaskKey) -> None:
-        """Drops the reservation of a task that was placed."""
-        self._reservations.fulfil(key)
+    def on_task_placed(self, placed: Placement) -> None:
+        """Drops the reservation of a task that was placed; logs whose reservation it overrode."""
+        self._reservations.fulfil((placed.job.number, placed.task))
+        for number, task in self._reservations.list_tasks_on(placed.machine):
+            job = self.ledger.state.jobs.get(number)
+            log.info(
+                "event=reservation_overridden term=%d task=%s machine=%s reserved_for=%s/%d",
+                self.term.number,
+                placed.name,
+                placed.machine,
+                job.spec.ref if job is not None else number,
+                task,
+            )
 
     def on_gang_placed(self, job: Job) -> None:
         """Drops the reservations of a gang that was placed."""
@@ -129,13 +139,21 @@
 
     def _execute_plan(self, job: Job, task: TaskKey, plan: PreemptionPlan) -> None:
         self._preemptors.expire(self.runtime.now())
+        self._log_stops(job, task, plan)
         self._preempt(task, job.spec, plan.machine, plan.victims)
-        log.debug(
-            "event=tasks_preempted term=%d job=%s machine=%s stopped=%d loss=%.0f",
+
+    def _log_stops(self, job: Job, task: TaskKey, plan: PreemptionPlan) -> None:
+        """Logs which tasks are stopped for which one, and by which right."""
+        rank = wire.RANKS[job.spec.rank]
+        is_by_rank = all(wire.RANKS[placed.job.spec.rank] > rank for placed in plan.victims)
+        log.info(
+            "event=tasks_preempted term=%d task=%s/%d machine=%s stopped=%s right=%s loss=%.0f",
             self.term.number,
             job.spec.ref,
+            task[1],
             plan.machine.name,
-            len(plan.victims),
+            ",".join(placed.name for placed in plan.victims),
+            "rank" if is_by_rank else "guarantee",
             plan.cost,
         )
 
--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -45,6 +45,10 @@
         """Returns the reservations on a machine."""
         return self._by_machine.get(machine, {}).values()
 
+    def list_tasks_on(self, machine: str) -> list[TaskKey]:
+        """Returns the tasks for which capacity is reserved on a machine."""
+        return list(self._by_machine.get(machine, ()))
+
     def has_task(self, key: TaskKey) -> bool:
         """Whether capacity is reserved for the task on any machine."""
         return any(key in reservations for reservations in self._by_machine.values())
--- a/flaxtally/leader/scheduling/scheduler.py
+++ b/flaxtally/leader/scheduling/scheduler.py
@@ -225,7 +225,7 @@
         placed.proposed_at = now
         job.pending_since = now
         machine.add_placement(placed)
-        self.preemption.on_task_placed((job.number, task))
+        self.preemption.on_task_placed(placed)
         self._quota_reclaim.on_task_placed(job, machine)
         self._machines.apply_changes()
 
