One precedence decides who is placed first, who may stop whom, and whom a reservation keeps out

Cause: three answers to one question. `RankPolicy.is_preemptible` let the job within the guarantee stop the array in spite of its rank. The queue sorted by rank first, and the reservation of the freed room let in every job of its own rank or a higher one, so the array that had just been stopped took the room again. And the reservation closed the whole machine to lower ranks, however much was free beside it; each new stop renewed it.

Change: `Precedence` (over the team's quota or not, then the rank) sorts the queue, is required for each stop, and says who may use reserved capacity. A team's quota is counted for its highest ranks first, so that the order holds within a team too. A reservation is an amount beside which others are placed; it stays until the tasks that were stopped have left, and its task is tried there first. A task that was placed within its team's quota keeps that standing against jobs beyond theirs. Capacity held for gangs that have waited for long follows the same rule.

Why this works: a stop replaces work by work that precedes it, so between two ends of tasks only finitely many stops are possible, and the task that was stopped can't take the room that it left.

--- a/flaxtally/leader/jobs.py
+++ b/flaxtally/leader/jobs.py
@@ -65,7 +65,8 @@
     def restore(self) -> None:
         """Restores the unfinished jobs from the replayed ledger."""
         now = self.runtime.now()
-        for job in self.ledger.state.jobs.values():
+        # Compaction may have moved the records of older jobs behind those of newer ones.
+        for job in sorted(self.ledger.state.jobs.values(), key=lambda job: job.number):
             if not job.is_terminal or job.placements:
                 self.live_jobs[job.number] = job
                 self.queue.restore(job)
--- a/flaxtally/leader/scheduling/lending_policy.py
+++ b/flaxtally/leader/scheduling/lending_policy.py
@@ -20,8 +20,7 @@
     from ..reclaim.reclaim_admission import ReclaimAdmission
     from ..reclaim.reclaimed_capacity import ReclaimedCapacity
     from .preemption_policy import PreemptionBudget, PreemptionRequest
-    from .preemptors import Preemptors
-    from .reservations import TaskKey
+    from .reservations import Reservations, TaskKey
 
 OVERDUE_RECLAIM_FRACTION = 0.5
 """The fraction of the reclaim deadline after which an entitled job also uses capacity that is
@@ -107,10 +106,10 @@
         """Sets the reclaim deadline of the job."""
         self._admission.record_demand(job)
 
-    def find_next_preemptor(self, job: Job, preemptors: Preemptors, now: float) -> TaskKey | None:
+    def find_next_preemptor(self, job: Job, reservations: Reservations) -> TaskKey | None:
         """Returns the next pending task for which no reclaim or preemption is open."""
         reclaimed_count = self._open_reclaims.count_tasks_for(job)
-        preempting_tasks = preemptors.list_pending_tasks(job, now)
+        preempting_tasks = reservations.list_preempting_tasks(job)
         if reclaimed_count + len(preempting_tasks) >= job.pending_count:
             return None
         pending = itertools.chain(
--- a/flaxtally/leader/scheduling/pending_queue.py
+++ b/flaxtally/leader/scheduling/pending_queue.py
@@ -9,6 +9,7 @@
 from ...protocol import wire
 from ..term import Term, TermActor
 from .job_urgency import JobUrgency
+from .precedence import Precedence
 
 if TYPE_CHECKING:
     from collections.abc import Hashable
@@ -19,8 +20,7 @@
 class QueueKey(NamedTuple):
     """The sort key of the queue; its fields are compared in this order."""
 
-    rank: int
-    is_over_quota: bool
+    precedence: Precedence
     level: int
     """The index of the due time that the job is to meet, see `JobUrgency`."""
     latest_start_at: float
@@ -62,8 +62,8 @@
         self._ordered_numbers: set[int] = set()
         self._ordered_at = float("-inf")
         self._equivalence_classes: dict[Hashable, int] = {}
-        self._demand: dict[str, Amounts] = {}
-        """Resources that each team's unfinished jobs need together, as of the last count."""
+        self._demand: dict[tuple[str, int], Amounts] = {}
+        """Resources that each team's unfinished jobs of a rank need, as of the last count."""
         self._quotas: dict[str, Quota] = {}
         """The teams' quotas as of the last count."""
         self._urgency = JobUrgency(self.settings.objectives, self.policy)
@@ -99,8 +99,8 @@
     def get_ordered_jobs(self) -> list[PendingJob]:
         """Returns the jobs in the order of placement; some may have no pending tasks any more.
 
-        Orders them by rank; then jobs within their team's quota come first, then jobs that can
-        still meet a due time, the most urgent first, then older jobs.
+        Orders them by precedence; then jobs that can still meet a due time come first, the most
+        urgent first, then older jobs.
         """
         if self.runtime.now() - self._ordered_at > self.policy.retry / 2:
             self._sort_queue(self.list_pending_jobs())
@@ -130,11 +130,13 @@
 
     def _make_entry(self, job: Job) -> PendingJob:
         level, latest_start_at = self._urgency.compute(job, self.runtime.wall())
-        is_over_quota = job.number in self.jobs_over_quota
-        rank = wire.RANKS[job.spec.rank]
-        key = QueueKey(rank, is_over_quota, level, latest_start_at, job.number)
+        key = QueueKey(self.get_precedence(job), level, latest_start_at, job.number)
         return PendingJob(key, job, self._find_equivalence_class(job))
 
+    def get_precedence(self, job: Job) -> Precedence:
+        """Returns the job's precedence over others, as of the last count of the quotas."""
+        return Precedence(job.number in self.jobs_over_quota, wire.RANKS[job.spec.rank])
+
     def _find_equivalence_class(self, job: Job) -> int | None:
         """Returns a number for the properties that decide where a task fits or may preempt."""
         spec = job.spec
@@ -157,20 +159,32 @@
     # Quotas
 
     def _count_all_demand(self) -> None:
-        """Determines which jobs are over quota; until the next call, only new jobs are added."""
+        """Determines which jobs are over quota; until the next call, only new jobs are added.
+
+        A team's quota goes to its jobs of the highest ranks first, and within a rank to those that
+        were accepted first: otherwise a job could precede one of a higher rank of its own team.
+        """
         self._demand = {}
         self._quotas = {}
         self.jobs_over_quota = set()
+        by_rank: list[list[Job]] = [[] for _ in wire.RANKS]
         for job in self._live_jobs.values():
             # Inlined: calling a property for each live job would cost as much as the count itself.
             if not (job.is_done or job.is_cancelled):
+                by_rank[wire.RANKS[job.spec.rank]].append(job)
+        for jobs in by_rank:
+            for job in jobs:
                 self._count_demand(job)
 
     def _count_demand(self, job: Job) -> None:
+        """Adds the job's demand; it is over quota if that of its rank and higher ones is."""
         spec = job.spec
+        rank = wire.RANKS[spec.rank]
         unfinished = compute_amounts(spec, spec.tasks - len(job.done_tasks))
-        demand = self._demand.get(spec.team, NO_RESOURCES).plus(unfinished)
-        self._demand[spec.team] = demand
+        demand = self._demand.get((spec.team, rank), NO_RESOURCES).plus(unfinished)
+        self._demand[spec.team, rank] = demand
+        for higher_rank in range(rank):
+            demand = demand.plus(self._demand.get((spec.team, higher_rank), NO_RESOURCES))
         quota = self._quotas.get(spec.team)
         if quota is None:
             quota = self._quotas[spec.team] = self.term.get_quota(spec.team)
--- a/flaxtally/leader/scheduling/preemption.py
+++ b/flaxtally/leader/scheduling/preemption.py
@@ -10,11 +10,10 @@
 from ...protocol import wire
 from ..reclaim.preemption_plan import PreemptionPlan
 from ..term import Term, TermActor
-from .preemptors import Preemptors
-from .reservations import Reservation, Reservations, TaskKey
+from .reservations import Purpose, Reservations, TaskKey
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Hashable
+    from collections.abc import Collection, Hashable, Sequence
 
     from ...gangs.gang_preemption import MachineSlots
     from ...ledger.job import Job
@@ -31,7 +30,10 @@
 
 
 class Preemption(TermActor):
-    """Owns the reservations of capacity that was freed by stopping tasks."""
+    """Stops tasks for others, and reserves their capacity for these.
+
+    A stop is repeated until the task has left its machine; the capacity stays reserved until then.
+    """
 
     def __init__(
         self,
@@ -53,7 +55,6 @@
         self._reservations = reservations
         self._open_reclaims = open_reclaims
         self._quota_reclaim = quota_reclaim
-        self._preemptors = Preemptors()
         self._infeasible = placement.InfeasibleRequests()
         """Requests that found no victim, until `_infeasible_until`."""
         self._infeasible_until = 0.0
@@ -65,14 +66,11 @@
             self._infeasible = placement.InfeasibleRequests()
             self._infeasible_until = now + self.policy.retry
         self._policies.current.begin_pass()
-        return self._reservations.expire(now, self.ledger.state)
+        self._reservations.expire()
+        return self._reservations.take_freed_machines()
 
     # Queries
 
-    def make_filter_for_rank(self, rank: int) -> Callable[[Machine], bool] | None:
-        """Returns a filter of machines that no more important task has reserved; None: all."""
-        return self._reservations.make_filter_for_rank(rank) if self._reservations else None
-
     def get_equivalence_key(self, job: Job) -> Hashable:
         """Returns a key that is equal for jobs for which the same tasks may be stopped."""
         return self._policies.current.get_equivalence_key(job)
@@ -87,34 +85,20 @@
 
     # Placements
 
-    def on_task_placed(self, placed: Placement) -> None:
-        """Drops the reservation of a task that was placed; logs whose reservation it overrode."""
-        self._reservations.fulfil((placed.job.number, placed.task))
-        for number, task in self._reservations.list_tasks_on(placed.machine):
-            job = self.ledger.state.jobs.get(number)
-            log.info(
-                "event=reservation_overridden term=%d task=%s machine=%s reserved_for=%s/%d",
-                self.term.number,
-                placed.name,
-                placed.machine,
-                job.spec.ref if job is not None else number,
-                task,
-            )
-
     def on_gang_placed(self, job: Job) -> None:
         """Drops the reservations of a gang that was placed."""
         self._quota_reclaim.on_gang_placed(job)
-        for task in range(job.spec.tasks):
-            if self._preemptors.remove((job.number, task)):
-                self._reservations.fulfil((job.number, task))
+        for placed in job.placements.values():
+            self._reservations.on_task_placed(placed)
+        self._reservations.remove_for_job(job)
 
     # For single tasks
 
     def preempt_for_task(self, job: Job, key: Hashable, excluded_zones: Collection[str]) -> bool:
         """Stops tasks to free capacity for one task of the job, where the least work is lost.
 
-        The capacity is reserved for the job's rank for as long as the stops may take. Returns False
-        if there is no victim for this job, nor for others with the same `key`.
+        The capacity is reserved for the task until the others have left. Returns False if there is
+        no victim for this job, nor for others with the same `key`.
         """
         policy = self._policies.current
         is_entitled = policy.is_entitled(job)
@@ -123,10 +107,10 @@
             return False
         if is_entitled:
             policy.record_demand(job)
-        request = self._victim_search.make_request(job, is_entitled=is_entitled)
-        task = policy.find_next_preemptor(job, self._preemptors, request.now)
+        task = policy.find_next_preemptor(job, self._reservations)
         if task is None:
             return True
+        request = self._victim_search.make_request(job, is_entitled=is_entitled)
         zones = policy.find_excluded_zones(job, excluded_zones)
         plan = self._victim_search.find_cheapest(request, zones)
         if plan is None:
@@ -134,13 +118,10 @@
             return False
         if policy.is_reclaim(request, plan.victims):
             return self._quota_reclaim.try_start(job, plan)
-        self._execute_plan(job, task, plan)
-        return True
-
-    def _execute_plan(self, job: Job, task: TaskKey, plan: PreemptionPlan) -> None:
-        self._preemptors.expire(self.runtime.now())
         self._log_stops(job, task, plan)
-        self._preempt(task, job.spec, plan.machine, plan.victims)
+        self._reserve(job, task[1], plan.machine, plan.victims, Purpose.PREEMPTION)
+        self._stop(plan.victims)
+        return True
 
     def _log_stops(self, job: Job, task: TaskKey, plan: PreemptionPlan) -> None:
         """Logs which tasks are stopped for which one, and by which right."""
@@ -166,7 +147,7 @@
         request = self._victim_search.make_request(placed.job, is_entitled=False)
         victims = self._victim_search.select_victims_on(machine, machine_type, request)
         if victims and all(victim.is_best_effort for victim in victims):
-            self._reserve(key, placed.job.spec, machine, victims, is_moving=True)
+            self._reserve(placed.job, placed.task, machine, victims, Purpose.MOVE)
             self._stop(victims)
 
     # For gangs
@@ -179,10 +160,10 @@
         By rank, only gangs above batch jobs may preempt: a gang waits until all its tasks have
         capacity, and the capacity that was freed for it is idle meanwhile.
         """
-        policy, now = self._policies.current, self.runtime.now()
-        if self._preemptors.is_preemptor(
-            (job.number, 0), now
-        ) or self._open_reclaims.count_tasks_for(job):
+        policy = self._policies.current
+        if self._reservations.list_preempting_tasks(job) or (
+            self._open_reclaims.count_tasks_for(job)
+        ):
             return True
         key = "gang", job.shape, job.spec.tasks, policy.get_gang_equivalence_key(job)
         if (
@@ -203,45 +184,35 @@
         return True
 
     def _execute_gang_plan(self, job: Job, choice: list[MachineSlots]) -> None:
-        self._preemptors.expire(self.runtime.now())
         tasks = iter(range(job.spec.tasks))
         for slots in choice:
             for task in itertools.islice(tasks, slots.task_count):
-                self._preempt((job.number, task), job.spec, slots.machine, list(slots.victims))
+                self._reserve(job, task, slots.machine, slots.victims, Purpose.PREEMPTION)
+            self._stop(slots.victims)
         log.info(
-            "event=tasks_preempted_for_gang term=%d job=%s machines=%d",
+            "event=tasks_preempted_for_gang term=%d job=%s machines=%d stopped=%s",
             self.term.number,
             job.spec.ref,
             len(choice),
+            ",".join(placed.name for slots in choice for placed in slots.victims),
         )
 
     # Execution
 
-    def _preempt(
-        self, key: TaskKey, spec: wire.Spec, machine: Machine, victims: list[Placement]
-    ) -> None:
-        """Stops the tasks and reserves their capacity for another one."""
-        expires_at = self._reserve(key, spec, machine, victims, is_moving=False)
-        self._stop(victims)
-        self._preemptors.add(key, expires_at)
-
     def _reserve(
         self,
-        key: TaskKey,
-        spec: wire.Spec,
+        job: Job,
+        task: int,
         machine: Machine,
-        victims: list[Placement],
-        *,
-        is_moving: bool,
-    ) -> float:
-        """Reserves the victims' capacity for as long as their stop may take; returns the expiry."""
-        longest_save_s = max((placed.job.spec.checkpoint_save_s for placed in victims), default=0.0)
+        awaited: Sequence[Placement],
+        purpose: Purpose,
+    ) -> None:
+        """Reserves capacity for a task for as long as the stops of others may take."""
+        longest_save_s = max((placed.job.spec.checkpoint_save_s for placed in awaited), default=0.0)
         expires_at = self.runtime.now() + 2 * self.policy.order_call + longest_save_s
-        reservation = Reservation(wire.RANKS[spec.rank], expires_at, spec, is_moving)
-        self._reservations.add(machine.name, key, reservation)
-        return expires_at
+        self._reservations.add(job, task, machine.name, awaited, expires_at, purpose)
 
-    def _stop(self, victims: list[Placement]) -> None:
+    def _stop(self, victims: Sequence[Placement]) -> None:
         for placed in victims:
             if placed.stopping_at is not None:
                 continue
--- a/flaxtally/leader/scheduling/preemption_parts.py
+++ b/flaxtally/leader/scheduling/preemption_parts.py
@@ -33,6 +33,7 @@
     """The objects that the scheduler and the leader use."""
 
     machines: SchedulableMachines
+    reservations: Reservations
     quota_accounting: QuotaAccounting
     reclaimed_capacity: ReclaimedCapacity
     quota_reclaim: QuotaReclaim
@@ -50,7 +51,7 @@
 ) -> PreemptionParts:
     """Builds the objects for one term: state, then decisions, then their execution."""
     machines = SchedulableMachines(term, reconciler)
-    reservations = Reservations()
+    reservations = Reservations(term, jobs.queue, reconciler)
     open_reclaims = OpenReclaims(term.ledger)
     quota_accounting = QuotaAccounting(term, commands, open_reclaims, feature)
     admission = ReclaimAdmission(term, jobs, open_reclaims, pools, feature)
@@ -87,5 +88,5 @@
         quota_reclaim,
     )
     return PreemptionParts(
-        machines, quota_accounting, reclaimed_capacity, quota_reclaim, preemption
+        machines, reservations, quota_accounting, reclaimed_capacity, quota_reclaim, preemption
     )
--- a/flaxtally/leader/scheduling/preemption_policy.py
+++ b/flaxtally/leader/scheduling/preemption_policy.py
@@ -19,9 +19,9 @@
     from ...ledger.placement import Placement
     from ..jobs import JobRegistry
     from ..reclaim.quota_accounting import QuotaAccounting
+    from .precedence import Precedence
     from .preemption_cost import PreemptionCost
-    from .preemptors import Preemptors
-    from .reservations import TaskKey
+    from .reservations import Reservations, TaskKey
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +30,8 @@
 
     job: Job
     spec: wire.Spec
+    precedence: Precedence
+    """The job's precedence over others."""
     is_entitled: bool
     """Whether the job's next task is entitled to capacity that others use beyond their quota."""
     now: float
@@ -66,7 +68,7 @@
     def record_demand(self, job: Job) -> None:
         """Records that the job is entitled to capacity and found none."""
 
-    def find_next_preemptor(self, job: Job, preemptors: Preemptors, now: float) -> TaskKey | None:
+    def find_next_preemptor(self, job: Job, reservations: Reservations) -> TaskKey | None:
         """Returns the pending task to preempt for next; None: capacity is being freed for all."""
 
     def find_excluded_zones(self, job: Job, zones: Collection[str]) -> Collection[str]:
@@ -100,10 +102,10 @@
 
 
 class RankPolicy(TermActor):
-    """Preempts lower ranks for higher ones, without lending.
+    """Preempts for jobs that precede others, without lending: by rank, or by a team's quota.
 
-    A job within its team's quota also preempts tasks that another team runs beyond its quota, if
-    little work is lost.
+    A job within its team's quota also preempts tasks of any rank that another team runs beyond its
+    quota, if little work is lost. A job over its team's quota preempts no task within another's.
     """
 
     def __init__(self, term: Term, jobs: JobRegistry, cost: PreemptionCost) -> None:
@@ -138,22 +140,32 @@
     def record_demand(self, job: Job) -> None:
         """Does nothing, since there is no reclaim deadline."""
 
-    def find_next_preemptor(self, job: Job, preemptors: Preemptors, now: float) -> TaskKey | None:
+    def find_next_preemptor(self, job: Job, reservations: Reservations) -> TaskKey | None:
         """Returns the job's next pending task; preempts for one task at a time."""
-        key = job.number, job.next_pending_task()
-        return None if preemptors.is_preemptor(key, now) else key
+        if reservations.list_preempting_tasks(job):
+            return None
+        return job.number, job.next_pending_task()
 
     def find_excluded_zones(self, job: Job, zones: Collection[str]) -> Collection[str]:
         """Returns `zones`."""
         return zones
 
     def is_preemptible(self, placed: Placement, request: PreemptionRequest) -> bool:
-        """Whether the task has a lower rank, or is over its team's quota and loses little work."""
+        """Whether the job precedes the task's, and the rank or the quota gives it the right.
+
+        A task that was placed within its team's quota counts as within it for jobs that are over
+        theirs, also after further jobs of its team were accepted: each of these would otherwise
+        give the others the right to stop it again.
+        """
         other, spec = placed.job.spec, request.spec
-        return wire.RANKS[other.rank] > wire.RANKS[spec.rank] or (
-            request.is_entitled
-            and placed.job.number in self._jobs.queue.jobs_over_quota
-            and other.team != spec.team
+        if not request.precedence < self._jobs.queue.get_precedence(placed.job):
+            return False
+        if wire.RANKS[other.rank] > wire.RANKS[spec.rank]:
+            return other.team == spec.team or not (
+                request.precedence.is_over_quota and placed.was_placed_within_quota
+            )
+        return (
+            other.team != spec.team
             and other.job_kind != wire.SERVICE
             and self._cost.estimate_lost_work_s(placed, request.now) < self.policy.settle
         )
--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -1,97 +1,331 @@
-"""Reservations of capacity for a task while other tasks are stopped to free it."""
+"""Reservations of capacity for pending tasks while other tasks leave it."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+import enum
+import logging
+from typing import TYPE_CHECKING, TypeVar
+
+from ...planning import placement
+from ...protocol import wire
+from ..term import Term, TermActor
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator, Sequence
 
-    from ...ledger.cluster_state import ClusterState
+    from ...ledger.job import Job
+    from ...ledger.placement import Placement
     from ...planning.fleet import Machine
-    from ...protocol import wire
+    from ..reclaim.reclaimed_capacity import MachineStatus
+    from .pending_queue import PendingQueue
+    from .precedence import Precedence
+
+log = logging.getLogger(__name__)
+
+Key = TypeVar("Key")
 
 TaskKey = tuple[int, int]
 """The number of a job and the number of one of its tasks."""
 
 
-class Reservation(NamedTuple):
-    """Capacity on a machine that is reserved for a task until `expires_at`."""
+class Purpose(enum.Enum):
+    """What capacity is reserved for."""
+
+    PREEMPTION = "preemption"
+    """A pending task for which others were stopped."""
+    MOVE = "move"
+    """A replica that moves from a machine that is being emptied."""
+    LARGE_GANG = "large gang"
+    """A gang that waits until enough tasks finish by themselves."""
+
+
+class Reservation:
+    """Capacity on a machine that is reserved for a task of a job."""
+
+    __slots__ = ("awaited", "expires_at", "job", "machine", "precedence", "purpose", "task")
+
+    def __init__(
+        self,
+        job: Job,
+        task: int,
+        machine: str,
+        precedence: Precedence,
+        awaited: Sequence[Placement],
+        expires_at: float,
+        purpose: Purpose,
+    ) -> None:
+        """`machine`: its name; `awaited`: the tasks there that are about to leave it."""
+        self.job = job
+        self.task = task
+        self.machine = machine
+        self.precedence = precedence
+        """The job's precedence when the capacity was reserved."""
+        self.awaited = tuple(awaited)
+        self.expires_at = expires_at
+        self.purpose = purpose
+
+    @property
+    def key(self) -> TaskKey:
+        """The task for which the capacity is reserved."""
+        return self.job.number, self.task
+
+    def list_remaining(self) -> list[Placement]:
+        """Returns the awaited tasks that have not left the machine yet."""
+        return [placed for placed in self.awaited if placed.is_current]
+
+    def is_fulfilled(self) -> bool:
+        """Whether its job needs it no longer, since it was placed or is terminal."""
+        if self.job.is_terminal:
+            return True
+        if self.purpose is Purpose.MOVE:
+            return False
+        return self.task in self.job.placements or not self.job.pending_count
 
-    rank: int
-    expires_at: float
-    spec: wire.Spec
-    is_move: bool
-    """Whether the task still runs elsewhere and moves once the capacity is free."""
 
+class Reservations(TermActor):
+    """Owns the reservations of capacity, and decides whom they keep out.
 
-class Reservations:
-    """Owns the reservations by machine and task."""
+    A job may use capacity that is reserved for one that it precedes, and what is left beside the
+    others.
+    """
 
-    def __init__(self) -> None:
-        """Starts without reservations."""
-        self._by_machine: dict[str, dict[TaskKey, Reservation]] = {}
+    def __init__(self, term: Term, queue: PendingQueue, machine_status: MachineStatus) -> None:
+        """Starts without reservations; `queue` knows the precedence of jobs."""
+        super().__init__(term)
+        self._queue = queue
+        self._machine_status = machine_status
+        self._by_task: dict[TaskKey, Reservation] = {}
+        self._by_machine: dict[str, list[Reservation]] = {}
+        self._by_job: dict[int, list[Reservation]] = {}
         self._freed_machines: set[str] = set()
-        """Names of machines on which a reservation was fulfilled since the last `expire`."""
+        """Names of machines on which reservations ended since `take_freed_machines`."""
+
+    def __iter__(self) -> Iterator[Reservation]:
+        """Iterates over a copy: reservations may be added and removed meanwhile."""
+        return iter(list(self._by_task.values()))
+
+    # Changes
+
+    def add(
+        self,
+        job: Job,
+        task: int,
+        machine: str,
+        awaited: Sequence[Placement],
+        expires_at: float,
+        purpose: Purpose,
+    ) -> None:
+        """Reserves capacity for the task, in place of an earlier reservation for it.
+
+        `machine`: its name; `awaited`: the tasks there that are about to leave it.
+        """
+        earlier = self._by_task.get((job.number, task))
+        if earlier is not None:
+            self._remove(earlier)
+        precedence = self._queue.get_precedence(job)
+        reservation = Reservation(job, task, machine, precedence, awaited, expires_at, purpose)
+        self._by_task[reservation.key] = reservation
+        self._by_machine.setdefault(reservation.machine, []).append(reservation)
+        self._by_job.setdefault(reservation.job.number, []).append(reservation)
+
+    def _remove(self, reservation: Reservation) -> None:
+        del self._by_task[reservation.key]
+        _remove_entry(self._by_machine, reservation.machine, reservation)
+        _remove_entry(self._by_job, reservation.job.number, reservation)
+        self._freed_machines.add(reservation.machine)
+
+    def remove_for_job(self, job: Job) -> None:
+        """Removes all reservations for a job."""
+        for reservation in list(self._by_job.get(job.number, ())):
+            self._remove(reservation)
+
+    def on_task_placed(self, placed: Placement) -> None:
+        """Removes the placed task's reservation, and those that its placement made impossible.
 
-    def __bool__(self) -> bool:
-        return bool(self._by_machine)
+        The placement keeps the precedence for which its capacity was reserved: only then does it
+        count as within its team's quota after further jobs of the team were accepted.
+        """
+        fulfilled = self._find_fulfilled(placed)
+        precedence = self._queue.get_precedence(placed.job)
+        if fulfilled is not None:
+            precedence = self._get_precedence(fulfilled)
+            self._remove(fulfilled)
+        placed.was_placed_within_quota = not precedence.is_over_quota
+        if placed.machine in self._by_machine:
+            self._end_overridden(placed)
+
+    def _find_fulfilled(self, placed: Placement) -> Reservation | None:
+        """Returns the task's reservation, or one for another task of its job on the machine."""
+        exact = self._by_task.get((placed.job.number, placed.task))
+        if exact is not None:
+            return exact
+        return next(
+            (
+                reservation
+                for reservation in self._by_job.get(placed.job.number, ())
+                if reservation.machine == placed.machine
+                and reservation.purpose is Purpose.PREEMPTION
+            ),
+            None,
+        )
+
+    def _end_overridden(self, placed: Placement) -> None:
+        """Ends the reservations on the machine for which there is no capacity any more."""
+        machine = self.fleet.machines.get(placed.machine)
+        if machine is None:
+            return
+        reserved = sorted(self._by_machine[machine.name], key=self._get_precedence)
+        expected = self._compute_expected(machine, reserved)
+        for reservation in reserved:
+            if expected.holds(reservation.job.spec):
+                expected = expected.minus(reservation.job.spec)
+                continue
+            log.info(
+                "event=reservation_overridden term=%d task=%s machine=%s reserved_for=%s/%d",
+                self.term.number,
+                placed.name,
+                placed.machine,
+                reservation.job.spec.ref,
+                reservation.task,
+            )
+            self._end(reservation)
+
+    def _end(self, reservation: Reservation) -> None:
+        """Removes a reservation; one task of a gang can't be placed without the others."""
+        if reservation.job.spec.job_kind == wire.GANG:
+            self.remove_for_job(reservation.job)
+        elif reservation.key in self._by_task:
+            self._remove(reservation)
+
+    def expire(self) -> None:
+        """Ends the reservations that are fulfilled, are too old, or whose machine can't be used.
 
-    def add(self, machine: str, key: TaskKey, reservation: Reservation) -> None:
-        """Reserves capacity on the machine for the task."""
-        self._by_machine.setdefault(machine, {})[key] = reservation
+        The time does not run while tasks that were stopped for the job are still on their machines.
+        """
+        now = self.runtime.now()
+        awaiting = {
+            reservation.job.number
+            for reservation in self
+            if reservation.purpose is not Purpose.LARGE_GANG and reservation.list_remaining()
+        }
+        for reservation in self:
+            if reservation.job.number in awaiting:
+                earliest = now + self.policy.order_call
+                reservation.expires_at = max(reservation.expires_at, earliest)
+            if reservation.key not in self._by_task:
+                continue
+            if reservation.is_fulfilled():
+                self._remove(reservation)
+            elif now >= reservation.expires_at or not self._can_use_machine(reservation):
+                self._log_end(reservation, now)
+                self._end(reservation)
+
+    def _can_use_machine(self, reservation: Reservation) -> bool:
+        if reservation.purpose is Purpose.LARGE_GANG:
+            return True
+        machine = self.fleet.machines.get(reservation.machine)
+        return machine is not None and self._machine_status.is_schedulable(machine)
 
-    def list_on(self, machine: str) -> Iterable[Reservation]:
-        """Returns the reservations on a machine."""
-        return self._by_machine.get(machine, {}).values()
+    def _log_end(self, reservation: Reservation, now: float) -> None:
+        log.info(
+            "event=reservation_ended term=%d reserved_for=%s/%d machine=%s how=%r",
+            self.term.number,
+            reservation.job.spec.ref,
+            reservation.task,
+            reservation.machine,
+            "too old" if now >= reservation.expires_at else "machine not usable",
+        )
 
-    def list_tasks_on(self, machine: str) -> list[TaskKey]:
-        """Returns the tasks for which capacity is reserved on a machine."""
-        return list(self._by_machine.get(machine, ()))
+    def take_freed_machines(self) -> set[str]:
+        """Returns the names of the machines on which reservations ended since the last call."""
+        freed = self._freed_machines
+        self._freed_machines = set()
+        return freed
+
+    # Queries
 
     def has_task(self, key: TaskKey) -> bool:
         """Whether capacity is reserved for the task on any machine."""
-        return any(key in reservations for reservations in self._by_machine.values())
+        return key in self._by_task
+
+    def list_preempting_tasks(self, job: Job) -> set[int]:
+        """Returns the job's pending tasks for which others were stopped."""
+        return {
+            reservation.task
+            for reservation in self._by_job.get(job.number, ())
+            if reservation.purpose is Purpose.PREEMPTION and not reservation.is_fulfilled()
+        }
 
-    def make_filter_for_rank(self, rank: int) -> Callable[[Machine], bool]:
-        """Returns a filter of machines without a reservation for a more important rank."""
+    def find_ready_machine(self, job: Job) -> Machine | None:
+        """Returns a machine that all tasks have left that were stopped for a task of the job."""
+        for reservation in self._by_job.get(job.number, ()):
+            if reservation.purpose is Purpose.PREEMPTION and not reservation.list_remaining():
+                return self.fleet.machines.get(reservation.machine)
+        return None
 
-        def is_available(machine: Machine) -> bool:
-            return all(rank <= reservation.rank for reservation in self.list_on(machine.name))
+    def make_filter(self, job: Job) -> Callable[[Machine], bool] | None:
+        """Returns a filter of machines that have capacity for the job; None: nothing is reserved.
 
-        return is_available
+        The filter only checks what is reserved against the job.
+        """
+        if not self._by_task:
+            return None
+        precedence = self._queue.get_precedence(job)
+
+        def accepts(machine: Machine) -> bool:
+            reserved = self._by_machine.get(machine.name)
+            if not reserved:
+                return True
+            blocking = [
+                each
+                for each in reserved
+                if each.job is not job and not precedence < self._get_precedence(each)
+            ]
+            return not blocking or self._has_capacity_beside(machine, blocking, job)
+
+        return accepts
+
+    def _has_capacity_beside(
+        self, machine: Machine, reserved: Iterable[Reservation], job: Job
+    ) -> bool:
+        """Whether the job fits in addition to reservations, once all awaited tasks have left."""
+        expected = self._compute_expected(machine, reserved)
+        for reservation in reserved:
+            expected = expected.minus(reservation.job.spec)
+        return expected.holds(job.spec)
+
+    def _compute_expected(
+        self, machine: Machine, reserved: Iterable[Reservation]
+    ) -> placement.FreeResources:
+        """Returns the free resources once the awaited tasks of these reservations have left."""
+        machine_type = self.term.machine_types[machine.machine_type]
+        expected = placement.compute_free_resources(machine, machine_type)
+        for placed in {each for reservation in reserved for each in reservation.list_remaining()}:
+            expected = expected.plus(placed.job.spec)
+        return expected
 
-    def fulfil(self, key: TaskKey) -> None:
-        """Drops the reservations of a placed task.
+    def compute_unreserved(
+        self, machine: Machine, machine_type: wire.MachineType, precedence: Precedence
+    ) -> placement.FreeResources:
+        """Returns what is free and not reserved, for a search of tasks to stop.
 
-        Otherwise, later searches would count them in addition to the placement.
+        A job does not stop tasks for capacity that others were stopped for already, even if it
+        precedes the job that this is reserved for: each stop must lead to the start it is made for.
         """
-        for machine, reservations in self._by_machine.items():
-            if reservations.pop(key, None) is not None:
-                self._freed_machines.add(machine)
-
-    def expire(self, now: float, state: ClusterState) -> set[str]:
-        """Drops fulfilled and expired reservations; returns the names of their machines."""
-        live_by_machine = {}
-        freed_machines = self._freed_machines
-        self._freed_machines = set()
-        for machine, reservations in self._by_machine.items():
-            live = {
-                key: reservation
-                for key, reservation in reservations.items()
-                if self._is_live(key, reservation, now, state)
-            }
-            if live:
-                live_by_machine[machine] = live
-            if len(live) < len(reservations):
-                freed_machines.add(machine)
-        self._by_machine = live_by_machine
-        return freed_machines
-
-    @staticmethod
-    def _is_live(key: TaskKey, reservation: Reservation, now: float, state: ClusterState) -> bool:
-        number, task = key
-        job = state.jobs.get(number)
-        if job is None or reservation.expires_at <= now:
-            return False
-        return reservation.is_move or task not in job.placements
+        free = placement.compute_free_resources(machine, machine_type)
+        for reservation in self._by_machine.get(machine.name, ()):
+            is_waiting_gang = reservation.purpose is Purpose.LARGE_GANG
+            if not is_waiting_gang or not precedence < self._get_precedence(reservation):
+                free = free.minus(reservation.job.spec)
+        return free
+
+    def _get_precedence(self, reservation: Reservation) -> Precedence:
+        """Returns the precedence of the job, now or when the capacity was reserved."""
+        return min(reservation.precedence, self._queue.get_precedence(reservation.job))
+
+
+def _remove_entry(index: dict[Key, list[Reservation]], key: Key, reservation: Reservation) -> None:
+    entries = index[key]
+    entries.remove(reservation)
+    if not entries:
+        del index[key]
--- a/flaxtally/leader/scheduling/scheduler.py
+++ b/flaxtally/leader/scheduling/scheduler.py
@@ -7,7 +7,6 @@
 from ...ledger.records import TaskPlaced
 from ...planning import placement
 from ...planning.machine_index import FitCheck
-from ...protocol import wire
 from ..gang_scheduling.gang_reservations import GangReservations
 from ..jobs import MAX_UNCOMMITTED_RECORDS, JobRegistry
 from ..reconciliation.attempt_finisher import EndReason
@@ -25,6 +24,7 @@
     from ..gang_scheduling.gang_scheduler import GangScheduler
     from ..reconciliation.reconciler import Reconciler
     from .pending_queue import PendingJob
+    from .precedence import Precedence
     from .preemption_parts import PreemptionParts
     from .reservations import TaskKey
     from .scheduling_pass import MachineFilter
@@ -56,7 +56,8 @@
         self.preemption = preemption_parts.preemption
         self._quota_reclaim = preemption_parts.quota_reclaim
         self._reclaimed_capacity = preemption_parts.reclaimed_capacity
-        self.gang_reservations = GangReservations(term, jobs)
+        self._reservations = preemption_parts.reservations
+        self.gang_reservations = GangReservations(term, jobs, self._reservations)
         self.examined_count = 0
         """The number of machines that passes have examined."""
         self.hints: dict[TaskKey, str] = {}
@@ -100,8 +101,7 @@
 
     def _run_pass(self, queue: list[PendingJob], now: float) -> bool:
         """Places what fits; returns whether the pass ended before it had tried all jobs."""
-        take_released_machines = self.gang_reservations.take_released_machines
-        freed_machines = self.preemption.begin_pass() | take_released_machines()
+        freed_machines = self.preemption.begin_pass()
         if self._machines.apply_changes():
             self._infeasible = placement.InfeasibleRequests()
         self._machines.mark_capacity_gained(freed_machines)
@@ -150,17 +150,23 @@
     def has_hint(self, job: Job) -> bool:
         """Whether a machine has been chosen for the job's next task."""
         is_hinted = bool(self.hints) and (job.number, job.next_pending_task()) in self.hints
-        return is_hinted or self._reclaimed_capacity.find_freed_machine(job) is not None
+        return is_hinted or self._find_freed_machine(job) is not None
+
+    def _find_freed_machine(self, job: Job) -> Machine | None:
+        """Returns a machine on which tasks were stopped for the job and have left."""
+        return self._reclaimed_capacity.find_freed_machine(
+            job
+        ) or self._reservations.find_ready_machine(job)
 
     def take_hinted_machine(
         self, job: Job, excluded_zones: Collection[str], is_available: MachineFilter | None
     ) -> Machine | None:
         """Returns the machine chosen for the job's next task, if the task fits there.
 
-        It was chosen for a move of the task, or capacity was reclaimed there.
+        It was chosen for a move of the task, or other tasks were stopped there.
         """
         hint = self.hints.pop((job.number, job.next_pending_task()), "")
-        machine = self.fleet.machines.get(hint) or self._reclaimed_capacity.find_freed_machine(job)
+        machine = self.fleet.machines.get(hint) or self._find_freed_machine(job)
         if machine is None or machine.zone in excluded_zones:
             return None
         if not self.reconciler.is_schedulable(machine):
@@ -174,18 +180,18 @@
     def make_availability_filter(self, job: Job) -> MachineFilter | None:
         """Returns a filter of machines whose capacity isn't reserved against the job.
 
-        Capacity may be reserved for a more important rank, for a gang, or by a reclaim. Returns
+        Capacity may be reserved for a job that precedes it or is equal, or by a reclaim. Returns
         None if nothing is reserved.
         """
-        candidates = (
-            self.preemption.make_filter_for_rank(wire.RANKS[job.spec.rank]),
-            self.gang_reservations.make_machine_filter(job),
-            self._reclaimed_capacity.make_reservation_filter(job),
-        )
-        filters = [each for each in candidates if each is not None]
-        if len(filters) < 2:
-            return filters[0] if filters else None
-        return lambda machine: all(is_available(machine) for is_available in filters)
+        unreserved = self._reservations.make_filter(job)
+        unclaimed = self._reclaimed_capacity.make_reservation_filter(job)
+        if unreserved is None or unclaimed is None:
+            return unreserved or unclaimed
+        return lambda machine: unreserved(machine) and unclaimed(machine)
+
+    def get_precedence(self, job: Job) -> Precedence:
+        """Returns the job's precedence over others."""
+        return self.jobs.queue.get_precedence(job)
 
     # Placements
 
@@ -225,7 +231,7 @@
         placed.proposed_at = now
         job.pending_since = now
         machine.add_placement(placed)
-        self.preemption.on_task_placed(placed)
+        self._reservations.on_task_placed(placed)
         self._quota_reclaim.on_task_placed(job, machine)
         self._machines.apply_changes()
 
--- a/flaxtally/leader/scheduling/scheduling_pass.py
+++ b/flaxtally/leader/scheduling/scheduling_pass.py
@@ -18,6 +18,7 @@
     from ..jobs import JobRegistry
     from ..term import Term
     from .pending_queue import PendingJob
+    from .precedence import Precedence
     from .preemption import Preemption
 
 MAX_PLACEMENTS_PER_PASS = 400
@@ -50,6 +51,9 @@
     def make_availability_filter(self, job: Job) -> MachineFilter | None:
         """Returns a filter of machines whose capacity isn't reserved against the job; None: all."""
 
+    def get_precedence(self, job: Job) -> Precedence:
+        """Returns the job's precedence over others."""
+
     def place_gang(self, job: Job, index: MachineIndex, *, is_overdue: bool) -> int:
         """Places all due tasks of a gang, or none; returns how many were placed.
 
@@ -187,7 +191,7 @@
             spec.zone,
             spec.spot,
             spec.job_kind,
-            wire.RANKS[spec.rank],
+            self._scheduler.get_precedence(job),
             bool(spec.gpus),
             excluded_zones,
         )
--- a/flaxtally/leader/scheduling/victim_search.py
+++ b/flaxtally/leader/scheduling/victim_search.py
@@ -59,7 +59,9 @@
 
     def make_request(self, job: Job, *, is_entitled: bool) -> PreemptionRequest:
         """Returns a request for the job as of now."""
-        return PreemptionRequest(job, job.spec, is_entitled, self.runtime.now())
+        precedence = self._jobs.queue.get_precedence(job)
+        now = self.runtime.now()
+        return PreemptionRequest(job, job.spec, precedence, is_entitled, now)
 
     def find_plan(self, job: Job) -> PreemptionPlan | None:
         """Returns a plan to stop tasks for a job that is entitled to capacity; None: none found."""
@@ -106,7 +108,7 @@
         )
         free_after_stops, victims = select_victims(
             spec,
-            self._compute_unreserved_capacity(machine, machine_type),
+            self._compute_unreserved_capacity(machine, machine_type, request),
             preemptible,
             lambda placed: placed.job.spec,
             policy.make_budget(spec).try_take,
@@ -132,7 +134,7 @@
                     for placed in self._list_preemptible_on(machine, request, policy)
                     if budget.try_take(placed)
                 ]
-                capacity = self._compute_unreserved_capacity(machine, machine_type)
+                capacity = self._compute_unreserved_capacity(machine, machine_type, request)
                 yield Candidate(machine, machine_type, capacity, victims)
 
         def total_cost(choice: list[MachineSlots]) -> float:
@@ -158,12 +160,10 @@
         return not is_gang or self._gang_scheduler.can_stop(placed.job)
 
     def _compute_unreserved_capacity(
-        self, machine: Machine, machine_type: wire.MachineType
+        self, machine: Machine, machine_type: wire.MachineType, request: PreemptionRequest
     ) -> placement.FreeResources:
         """Returns free resources minus reservations: a victim must not free capacity twice."""
-        free = placement.compute_free_resources(machine, machine_type)
-        for reservation in self._reservations.list_on(machine.name):
-            free = free.minus(reservation.spec)
+        free = self._reservations.compute_unreserved(machine, machine_type, request.precedence)
         for spec in self._reclaimed_capacity.get_reserved_specs_on(machine.name):
             free = free.minus(spec)
         return free
--- a/flaxtally/ledger/placement.py
+++ b/flaxtally/ledger/placement.py
@@ -57,6 +57,7 @@
         "started_at",
         "state",
         "stopping_at",
+        "was_placed_within_quota",
         "was_reported",
     )
 
@@ -82,6 +83,8 @@
         self.started_at: float | None = None
         self.command_sent_at = float("-inf")
         """When a command for the attempt was last issued."""
+        self.was_placed_within_quota = False
+        """Whether this leader placed it while its job was within its team's quota."""
         self.stopping_at: float | None = None
         """When this leader learned that the task was commanded to stop; None: it was not."""
 
