Tests of the related paths: kinds, ranks, steps, directions, streams, teams, a change of leader

Change: tests only. Services, arrays and gangs as those that are waited for, arrays and gangs as those that are stopped, equal and lower ranks, victims that save for different times, small jobs beside a reservation, both directions of a stop, a stream of urgent jobs of another team and of the own one, several teams within their guarantees, a leader that ends between a stop and its start.

--- a/tests/test_preemption_progress.py
+++ b/tests/test_preemption_progress.py
@@ -8,10 +8,13 @@
 
 from typing import Any
 
+import pytest
+
 from flaxtally.protocol import wire
 from flaxtally.settings import Team
 
-from .simulated_cluster import SimulatedCluster, spec
+from .scenarios import change_leader, wait_for_leader
+from .simulated_cluster import SimulatedCluster, gang, spec
 
 GUARANTEED = Team("crew", 32.0, 64.0, 0.0, 0.0)
 GUEST = Team("guest", 0.0, 64.0, 0.0, 0.0)
@@ -41,6 +44,7 @@
         cluster.cloud._capacity[pool] = 0
     cluster.cloud._capacity["c16", "a", False] = machines
     cluster.cloud._capacity["c16", "b", False] = 1
+    cluster.on_worker_started = lambda worker: setattr(worker, "saves_checkpoints", True)
     return cluster
 
 
@@ -92,3 +96,205 @@
     # Each task of the array was stopped once at most.
     assert count_starts(cluster, "j-000001") <= 4
     assert count_starts(cluster, "j-000002") == 1
+
+
+def start_with_urgent_array(**changes: Any) -> SimulatedCluster:
+    """Starts a cluster whose machine in zone a is used by two urgent tasks of the guests."""
+    cluster = start_scarce_cluster()
+    defaults: dict[str, Any] = {"team": "guest", "rank": "critical", "cores": 6.0}
+    cluster.submit(array("j-000001", 2, **(defaults | changes)), run_time=20.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 2, 60), cluster.trace
+    submit_ordinary_traffic(cluster, 120.0)
+    return cluster
+
+
+@pytest.mark.parametrize("victim_rank", ["critical", "high", "standard"])
+@pytest.mark.parametrize("kind", [wire.ARRAY, wire.GANG, wire.SERVICE])
+def test_each_kind_of_job_gets_the_room_that_was_freed_for_it(kind: str, victim_rank: str) -> None:
+    # The same fault for other kinds and ranks: tasks of an equal or a higher rank, beyond their
+    # team's guarantee, took the room again that was freed for a job within its team's guarantee.
+    cluster = start_with_urgent_array(rank=victim_rank)
+    if kind == wire.GANG:
+        job = gang("j-000002", 2, cores=8.0, rank="high", zone="a", image_gb=0.5)
+    elif kind == wire.ARRAY:
+        job = array("j-000002", rank="standard", cores=16.0)
+    else:
+        job = spec("j-000002", rank="standard", cores=16.0, zone="a", spread=False, image_gb=0.5)
+    cluster.submit(job, run_time=None if kind == wire.SERVICE else 10.0)
+    assert cluster.run_until(lambda: cluster.count("j-000002") == job.tasks, 20), cluster.trace[
+        -40:
+    ]
+    if kind == wire.SERVICE:
+        cluster.run(15)
+        assert cluster.count("j-000002") == 1
+        cluster.cancel("j-000002")
+    else:
+        assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 20), cluster.trace[-40:]
+    assert cluster.run_until(lambda: is_done(cluster, "j-000001"), 40), cluster.trace[-40:]
+    assert count_starts(cluster, "j-000001") <= 4
+    assert count_starts(cluster, "j-000002") == job.tasks
+
+
+def test_gang_that_was_stopped_does_not_take_the_room_again() -> None:
+    # The same fault with a gang as the one that is stopped: it is placed as a whole, by a search of
+    # its own, and took the room again that was freed for a job within its team's guarantee.
+    cluster = start_scarce_cluster()
+    urgent = gang("j-000001", 2, team="guest", rank="critical", cores=6.0, zone="a", image_gb=0.5)
+    cluster.submit(urgent, run_time=20.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 2, 60), cluster.trace
+    submit_ordinary_traffic(cluster, 120.0)
+    cluster.run(3)
+    cluster.submit(array("j-000002", cores=16.0), run_time=10.0)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 30), cluster.trace[-40:]
+    assert cluster.run_until(lambda: is_done(cluster, "j-000001"), 50), cluster.trace[-40:]
+    assert count_starts(cluster, "j-000001") <= 4
+
+
+def test_room_that_comes_free_in_steps_is_kept_until_all_of_it_is_free() -> None:
+    # The tasks that are stopped save for different times. The room of the first was taken again
+    # before the last had left, and the reservation ended while tasks were still saving.
+    cluster = start_scarce_cluster()
+    for ref, save_s in (("j-000001", 1.0), ("j-000002", 9.0)):
+        saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": save_s}
+        cluster.submit(
+            array(ref, team="guest", rank="critical", cores=7.0, **saving), run_time=30.0
+        )
+    assert cluster.run_until(lambda: len(cluster.running) == 2, 60), cluster.trace
+    submit_ordinary_traffic(cluster, 120.0)
+    cluster.run(6)
+    cluster.submit(array("j-000003", cores=16.0), run_time=5.0)
+    # One core is free all the time, but nothing fits beside the 16 cores that are reserved.
+    cluster.submit(array("j-000004", rank="standard", cores=1.0), run_time=3.0)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000003"), 25), cluster.trace[-40:]
+    assert count_starts(cluster, "j-000003") == 1
+    for ref in ("j-000001", "j-000002", "j-000004"):
+        assert cluster.run_until(lambda: is_done(cluster, ref), 60), cluster.trace[-40:]  # noqa: B023
+        assert count_starts(cluster, ref) <= 2
+
+
+def test_small_job_is_placed_beside_what_is_reserved() -> None:
+    # A machine with a reservation was closed to all lower ranks, however much was free on it. The
+    # task that is stopped saves for 9 s; the small job has room beside it all the time.
+    cluster = start_scarce_cluster()
+    saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": 9.0}
+    cluster.submit(array("j-000001", team="guest", cores=8.0, **saving), run_time=40.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 1, 60), cluster.trace
+    cluster.run(6)
+    cluster.submit(array("j-000002", rank="high", cores=12.0), run_time=5.0)
+    cluster.run(1)
+    cluster.submit(array("j-000003", rank="idle", cores=4.0, team="guest"), run_time=2.0)
+    assert cluster.run_until(lambda: cluster.count("j-000003") == 1, 4), cluster.trace[-40:]
+    assert cluster.count("j-000002") == 0
+    assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 25), cluster.trace[-40:]
+
+
+def test_rank_does_not_stop_work_within_another_teams_guarantee() -> None:
+    # The other direction of the same fault: an urgent job beyond its team's guarantee stopped work
+    # within another team's guarantee, which then had the right to stop it in turn.
+    cluster = start_scarce_cluster()
+    cluster.submit(array("j-000001", 2, rank="standard", cores=8.0), run_time=30.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 2, 60), cluster.trace
+    submit_ordinary_traffic(cluster, 60.0)
+    cluster.submit(array("j-000002", team="guest", rank="critical", cores=8.0), run_time=10.0)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000001"), 40), cluster.trace[-40:]
+    assert count_starts(cluster, "j-000001") == 2
+    assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 15), cluster.trace[-40:]
+
+
+def test_rank_decides_between_jobs_that_are_both_beyond_their_guarantee() -> None:
+    # A guarantee must not weaken ranks where none is claimed: the higher rank stops the lower one.
+    cluster = start_scarce_cluster()
+    cluster.submit(array("j-000001", 2, team="guest", rank="standard", cores=8.0), run_time=30.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 2, 60), cluster.trace
+    cluster.run(15)
+    cluster.submit(array("j-000002", team="guest", rank="high", cores=16.0), run_time=10.0)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 20), cluster.trace[-40:]
+    assert cluster.run_until(lambda: is_done(cluster, "j-000001"), 60), cluster.trace[-40:]
+    assert count_starts(cluster, "j-000001") == 4
+
+
+def test_quota_goes_to_the_highest_ranks_of_a_team_first() -> None:
+    # Jobs were within the guarantee in the order of their acceptance: an urgent job of the team
+    # would then come after older, less important work of the same team, or stop it and be stopped
+    # in turn for work that comes before it only through its team's guarantee.
+    cluster = start_scarce_cluster()
+    cluster.submit(array("j-000001", 2, rank="standard", cores=16.0), run_time=60.0)
+    cluster.submit(array("j-000002", team="guest", rank="critical", cores=8.0), run_time=10.0)
+    cluster.submit(array("j-000003", rank="critical", cores=16.0), run_time=10.0)
+    cluster.run(3)
+    leader = cluster.nodes[wait_for_leader(cluster)].leader
+    queue = leader.duties.jobs.queue
+    order = [entry.job.spec.ref for entry in queue.get_ordered_jobs()]
+    assert order.index("j-000003") == 0
+    assert queue.jobs_over_quota == {
+        leader.state.jobs_by_ref[ref].number for ref in ("j-000001", "j-000002")
+    }
+    assert cluster.run_until(lambda: is_done(cluster, "j-000003"), 40), cluster.trace[-40:]
+
+
+def test_stream_of_urgent_jobs_does_not_keep_a_guaranteed_job_waiting() -> None:
+    # Each urgent job of the other team that was accepted took the room that was freed for the job
+    # within its team's guarantee.
+    cluster = start_with_urgent_array()
+    for number in range(40):
+        urgent = array(f"j-{2000 + number:06d}", team="guest", rank="critical", cores=4.0)
+        cluster.after(2.0 * number, cluster.submit, urgent, 8.0, number)
+    cluster.after(10.0, cluster.submit, array("j-000002", cores=16.0), 10.0)
+    cluster.run(10)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 30), cluster.trace[-40:]
+    assert count_starts(cluster, "j-000002") == 1
+
+
+def test_jobs_of_the_own_team_do_not_let_others_stop_guaranteed_work_again_and_again() -> None:
+    # A short urgent job of the team uses its guarantee for a moment, and older work of the team is
+    # beyond it meanwhile. An urgent array of another team stopped that work each time, and was
+    # stopped for it once the short job was done: neither was ever done.
+    cluster = start_scarce_cluster(team=Team("crew", 16.0, 64.0, 0.0, 0.0))
+    cluster.submit(array("j-000001", 2, team="guest", rank="critical", cores=6.0), run_time=20.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 2, 60), cluster.trace
+    cluster.submit(array("j-000002", rank="standard", cores=16.0), run_time=15.0)
+    for number in range(25):
+        urgent = array(f"j-{3000 + number:06d}", rank="critical", cores=1.0, zone="b")
+        cluster.after(4.0 + 4.0 * number, cluster.submit, urgent, 2.0, number)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 60), cluster.trace[-40:]
+    assert cluster.run_until(lambda: is_done(cluster, "j-000001"), 60), cluster.trace[-40:]
+    assert count_starts(cluster, "j-000002") <= 2
+    assert count_starts(cluster, "j-000001") <= 6
+
+
+def test_several_teams_within_their_guarantees_share_the_room_by_rank() -> None:
+    # Two teams within their guarantees, and one beyond its own, need one machine each. Only the
+    # last is stopped for its guarantee's sake; among the others the rank decides.
+    crew = Team("crew", 16.0, 64.0, 0.0, 0.0)
+    others = (GUEST, Team("others", 16.0, 64.0, 0.0, 0.0))
+    cluster = start_scarce_cluster(team=crew, other_teams=others)
+    cluster.submit(array("j-000001", 2, team="guest", rank="critical", cores=8.0), run_time=20.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 2, 60), cluster.trace
+    submit_ordinary_traffic(cluster, 120.0)
+    cluster.submit(array("j-000002", rank="standard", cores=15.0), run_time=10.0)
+    cluster.run(5)
+    cluster.submit(array("j-000003", team="others", rank="high", cores=16.0), run_time=10.0)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000003"), 25), cluster.trace[-40:]
+    for ref, starts in (("j-000002", 2), ("j-000001", 4)):
+        assert cluster.run_until(lambda: is_done(cluster, ref), 60), cluster.trace[-40:]  # noqa: B023
+        assert count_starts(cluster, ref) <= starts
+
+
+def test_change_of_leader_between_a_stop_and_its_start() -> None:
+    # The new leader knows nothing of the reservation: the stopped task must not take the room.
+    cluster = start_scarce_cluster()
+    for ref, save_s in (("j-000001", 1.0), ("j-000002", 8.0)):
+        saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": save_s}
+        cluster.submit(
+            array(ref, team="guest", rank="critical", cores=7.0, **saving), run_time=30.0
+        )
+    assert cluster.run_until(lambda: len(cluster.running) == 2, 60), cluster.trace
+    submit_ordinary_traffic(cluster, 120.0)
+    cluster.run(6)
+    cluster.submit(array("j-000003", cores=16.0), run_time=5.0)
+    assert cluster.run_until(lambda: len(cluster.running) == 1, 8), cluster.trace[-40:]
+    change_leader(cluster)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000003"), 40), cluster.trace[-40:]
+    for ref in ("j-000001", "j-000002"):
+        assert cluster.run_until(lambda: is_done(cluster, ref), 60), cluster.trace[-40:]  # noqa: B023
+        assert count_starts(cluster, ref) <= 3
