A stop that was lost is sent again until the task has left its machine

What callers saw: a pending job for which a task was stopped waited until that task was done by itself, if the stop did not reach it.

Cause: a task counts as stopping from the moment at which the stop is decided, and nothing but the stops of cancelled jobs and of gangs was sent twice. The next search chose the same task, at no cost since it stops anyway, and skipped the command.

Change: with the periodic checks, the stop of each task that a reservation waits for is repeated after `order_call`, unless the task is saving. Reservations that ended ask for a pass, since there may be no other event that causes one.

--- a/flaxtally/leader/scheduling/preemption.py
+++ b/flaxtally/leader/scheduling/preemption.py
@@ -69,6 +69,28 @@
         self._reservations.expire()
         return self._reservations.take_freed_machines()
 
+    def check_stops(self) -> None:
+        """Repeats stops that were not executed, and requests a pass once reservations have ended.
+
+        There may be no other event that causes a pass.
+        """
+        now = self.runtime.now()
+        for reservation in self._reservations:
+            if reservation.purpose is Purpose.LARGE_GANG:
+                continue
+            for placed in reservation.list_remaining():
+                is_saving = placed.state == wire.FLUSHING
+                if not is_saving and now - placed.command_sent_at > self.policy.order_call:
+                    self._stop_again(placed)
+        self._reservations.expire()
+        if self._reservations.has_freed_machines:
+            self.term.request_pass()
+
+    def _stop_again(self, placed: Placement) -> None:
+        """Repeats the stop of a task; `GangScheduler` repeats those of gangs."""
+        if placed.job.spec.job_kind != wire.GANG:
+            self._commands.stop_task(placed, placed.job.spec.checkpoint_save_s)
+
     # Queries
 
     def get_equivalence_key(self, job: Job) -> Hashable:
--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -244,6 +244,11 @@
 
     # Queries
 
+    @property
+    def has_freed_machines(self) -> bool:
+        """Whether reservations ended since the last call of `take_freed_machines`."""
+        return bool(self._freed_machines)
+
     def has_task(self, key: TaskKey) -> bool:
         """Whether capacity is reserved for the task on any machine."""
         return key in self._by_task
--- a/flaxtally/leader/term_duties.py
+++ b/flaxtally/leader/term_duties.py
@@ -118,6 +118,7 @@
         self.reconciler.scale_in.send_terminations()
         self.scheduler.refresh_machines()
         self.scheduler.resume_backed_off_jobs()
+        self.scheduler.preemption.check_stops()
         # Compaction at the interval of fleet planning falls behind if jobs are many and short.
         self.term.ledger.compact()
 
--- a/tests/test_preemption_progress.py
+++ b/tests/test_preemption_progress.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from flaxtally.fakes.worker import Worker
 from flaxtally.protocol import wire
 from flaxtally.settings import Team
 
@@ -298,3 +299,27 @@
     for ref in ("j-000001", "j-000002"):
         assert cluster.run_until(lambda: is_done(cluster, ref), 60), cluster.trace[-40:]  # noqa: B023
         assert count_starts(cluster, ref) <= 3
+
+
+def test_lost_stop_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A stop that did not reach the task was never sent again, since the task counted as stopping:
+    # the job it was made for waited until the other was done.
+    cluster = start_with_urgent_array(cores=8.0)
+    stops_lost = [4]
+    execute = Worker._execute
+
+    def lose_stops(worker: Worker, commands: list[wire.Command]) -> None:
+        kept = []
+        for command in commands:
+            if command.verb == wire.STOP and stops_lost[0]:
+                stops_lost[0] -= 1
+            else:
+                kept.append(command)
+        execute(worker, kept)
+
+    monkeypatch.setattr(Worker, "_execute", lose_stops)
+    cluster.submit(array("j-000002", cores=16.0), run_time=5.0)
+    assert cluster.run_until(lambda: count_starts(cluster, "j-000002") == 1, 12), cluster.trace[
+        -40:
+    ]
+    assert not stops_lost[0]
