Nothing is stopped on a machine where the pending task may not be placed

What callers saw: tasks were stopped on a machine, nothing was placed in their room, they were placed again there and stopped again, every few seconds.

Cause: the search for tasks to stop asked whether a machine's type and zone are allowed and whether the task would fit. The search for a place also leaves out slow machines (arrays and gangs that haven't waited for long) and machines that are too dear for best-effort jobs.

Change: the pass hands its conditions on a machine to the search for tasks to stop.

--- a/flaxtally/leader/scheduling/preemption.py
+++ b/flaxtally/leader/scheduling/preemption.py
@@ -24,6 +24,7 @@
     from ..reclaim.open_reclaims import OpenReclaims
     from ..reclaim.quota_reclaim import QuotaReclaim
     from .preemption_policy import PreemptionPolicies
+    from .scheduling_pass import MachineFilter
     from .victim_search import VictimSearch
 
 log = logging.getLogger(__name__)
@@ -116,11 +117,18 @@
 
     # For single tasks
 
-    def preempt_for_task(self, job: Job, key: Hashable, excluded_zones: Collection[str]) -> bool:
+    def preempt_for_task(
+        self,
+        job: Job,
+        key: Hashable,
+        excluded_zones: Collection[str],
+        is_eligible: MachineFilter | None,
+    ) -> bool:
         """Stops tasks to free capacity for one task of the job, where the least work is lost.
 
         The capacity is reserved for the task until the others have left. Returns False if there is
-        no victim for this job, nor for others with the same `key`.
+        no victim for this job, nor for others with the same `key`. `is_eligible`: a filter of
+        machines on which the job may be placed; None: all.
         """
         policy = self._policies.current
         is_entitled = policy.is_entitled(job)
@@ -132,7 +140,9 @@
         task = policy.find_next_preemptor(job, self._reservations)
         if task is None:
             return True
-        request = self._victim_search.make_request(job, is_entitled=is_entitled)
+        request = self._victim_search.make_request(
+            job, is_entitled=is_entitled, is_eligible=is_eligible
+        )
         zones = policy.find_excluded_zones(job, excluded_zones)
         plan = self._victim_search.find_cheapest(request, zones)
         if plan is None:
--- a/flaxtally/leader/scheduling/preemption_policy.py
+++ b/flaxtally/leader/scheduling/preemption_policy.py
@@ -22,6 +22,7 @@
     from .precedence import Precedence
     from .preemption_cost import PreemptionCost
     from .reservations import Reservations, TaskKey
+    from .scheduling_pass import MachineFilter
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,8 @@
     is_entitled: bool
     """Whether the job's next task is entitled to capacity that others use beyond their quota."""
     now: float
+    is_eligible: MachineFilter | None = None
+    """A filter of machines on which the job may be placed once they have capacity; None: all."""
 
 
 class PreemptionBudget(Protocol):
--- a/flaxtally/leader/scheduling/scheduling_pass.py
+++ b/flaxtally/leader/scheduling/scheduling_pass.py
@@ -251,16 +251,23 @@
 
     def _make_machine_filter(self, request: _TaskRequest) -> MachineFilter | None:
         """Returns a filter of machines in addition to the job's own constraints; None: all."""
+        is_worth_using = self._get_best_effort_filter(request)
+        is_available = request.is_available
+        if is_worth_using is None or is_available is None:
+            return is_worth_using or is_available
+        return lambda machine: is_worth_using(machine) and is_available(machine)
+
+    def _get_best_effort_filter(self, request: _TaskRequest) -> MachineFilter | None:
+        """Returns a filter of machines that are worth using for the job; None: all are."""
         job = request.job
         if not job.spec.is_best_effort or request.key.is_overdue:
-            return request.is_available
+            return None
         if job.number not in self._best_effort_filters:
             self._best_effort_filters[job.number] = self._make_best_effort_filter(request)
         return self._best_effort_filters[job.number]
 
     def _make_best_effort_filter(self, request: _TaskRequest) -> MachineFilter:
         """Returns a filter without expensive machines that would be kept for this job alone."""
-        is_available = request.is_available
         expensive_types = find_expensive_types(
             request.job.spec,
             self._term.machine_types,
@@ -269,15 +276,24 @@
         )
 
         def is_worth_using(machine: Machine) -> bool:
-            if (
-                not machine.non_best_effort_count
-                and (machine.machine_type, machine.spot) in expensive_types
-            ):
-                return False
-            return is_available is None or is_available(machine)
+            return bool(machine.non_best_effort_count) or (
+                (machine.machine_type, machine.spot) not in expensive_types
+            )
 
         return is_worth_using
 
+    def _make_eligibility_filter(self, request: _TaskRequest) -> MachineFilter | None:
+        """Returns a filter of machines on which the task may be placed once it fits; None: all.
+
+        Stopping tasks on another machine would be futile.
+        """
+        is_worth_using = self._get_best_effort_filter(request)
+        if request.job.spec.job_kind == wire.SERVICE or request.key.is_overdue:
+            return is_worth_using
+        return lambda machine: (
+            not machine.is_slow and (is_worth_using is None or is_worth_using(machine))
+        )
+
     # Preemption
 
     def _preempt(self, request: _TaskRequest) -> None:
@@ -290,6 +306,8 @@
         key = request.key.constraints, self._preemption.get_equivalence_key(job)
         if self._preemption.is_infeasible(key, job.spec) or (job.shape, key) in self._preempted_for:
             return
-        is_preempting = self._preemption.preempt_for_task(job, key, request.excluded_zones)
+        is_preempting = self._preemption.preempt_for_task(
+            job, key, request.excluded_zones, self._make_eligibility_filter(request)
+        )
         if is_preempting and not job.spec.spread:
             self._preempted_for.add((job.shape, key))
--- a/flaxtally/leader/scheduling/victim_search.py
+++ b/flaxtally/leader/scheduling/victim_search.py
@@ -26,6 +26,7 @@
     from .preemption_policy import PreemptionPolicies, PreemptionPolicy
     from .reservations import Reservations
     from .schedulable_machines import SchedulableMachines
+    from .scheduling_pass import MachineFilter
 
 
 class VictimSearch(TermActor):
@@ -57,11 +58,16 @@
         """The most machines that one search examines; the next one examines a different part."""
         return placement.SAMPLE_WIDENING_FACTOR**2 * self.policy.sample
 
-    def make_request(self, job: Job, *, is_entitled: bool) -> PreemptionRequest:
-        """Returns a request for the job as of now."""
+    def make_request(
+        self, job: Job, *, is_entitled: bool, is_eligible: MachineFilter | None = None
+    ) -> PreemptionRequest:
+        """Returns a request for the job as of now.
+
+        `is_eligible`: a filter of machines on which the job may be placed; None: all.
+        """
         precedence = self._jobs.queue.get_precedence(job)
         now = self.runtime.now()
-        return PreemptionRequest(job, job.spec, precedence, is_entitled, now)
+        return PreemptionRequest(job, job.spec, precedence, is_entitled, now, is_eligible)
 
     def find_plan(self, job: Job) -> PreemptionPlan | None:
         """Returns a plan to stop tasks for a job that is entitled to capacity; None: none found."""
@@ -97,6 +103,8 @@
         Tasks that lose the least work are chosen first.
         """
         policy, spec = self._policies.current, request.spec
+        if request.is_eligible is not None and not request.is_eligible(machine):
+            return []
         preemptible = self._list_preemptible_on(machine, request, policy)
         if not preemptible:
             return []
@@ -129,6 +137,8 @@
         def candidates(excluded_zones: Collection[str]) -> Iterator[Candidate]:
             machines = self._machines.index.iterate_allowed(spec, excluded_zones)
             for machine, machine_type in itertools.islice(machines, self._max_machines):
+                if request.is_eligible is not None and not request.is_eligible(machine):
+                    continue
                 victims = [
                     Victim(placed, self._cost.estimate_lost_work_s(placed, request.now))
                     for placed in self._list_preemptible_on(machine, request, policy)
--- a/tests/test_preemption_progress.py
+++ b/tests/test_preemption_progress.py
@@ -323,3 +323,25 @@
         -40:
     ]
     assert not stops_lost[0]
+
+
+def test_nothing_is_stopped_on_a_slow_machine_that_the_job_may_not_use() -> None:
+    # Tasks were stopped on a machine that is too slow for arrays: the array was not placed there,
+    # the stopped tasks were placed again, and were stopped again.
+    cluster = start_scarce_cluster()
+    cluster.submit(
+        spec("j-000001", rank="idle", tasks=2, cores=8.0, zone="a", spread=False, team="guest")
+    )
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 2, 60), cluster.trace
+    leader = cluster.nodes[wait_for_leader(cluster)].leader
+    machine = leader.duties.term.fleet.machines[cluster.find_machine("j-000001/0")]
+    machine.is_slow = True
+    machine.mark_changed()
+    submit_ordinary_traffic(cluster, 120.0)
+    cluster.submit(array("j-000002", cores=16.0), run_time=5.0)
+    cluster.run(20)
+    assert count_starts(cluster, "j-000001") == 2
+    assert count_starts(cluster, "j-000002") == 0
+    # A job that has waited for long uses slow machines, too.
+    assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 70), cluster.trace[-40:]
+    assert count_starts(cluster, "j-000001") <= 4
