A replica that moves gets the room that was chosen for it, and none that is reserved

What callers saw: a replica was stopped to be moved and was not started again while there was no other room for it.

Cause: the target of a move was chosen by what is free, also where that is reserved for a pending task; the placement then refused it. And nothing kept the target's room between the stop and the replica's exit, so that any job could take it. A machine with reserved room could itself be chosen to be emptied, which closes it to the task for which others had been stopped there.

Change: the search for a target applies the filter of reservations, the room is reserved when the replica is stopped, and machines with reserved room are not emptied.

--- a/flaxtally/leader/autoscaling/consolidation.py
+++ b/flaxtally/leader/autoscaling/consolidation.py
@@ -52,6 +52,7 @@
         self._reconciler = reconciler
         self._commands = commands
         self._autoscaler = autoscaler
+        self._scheduler = scheduler
         self._moves = ReplicaMoves(term, jobs, reconciler, commands, scheduler)
         self._skipped_until: dict[str, float] = {}
         """When machines that could not be emptied may be considered again, by name."""
@@ -113,7 +114,9 @@
             job.spec.is_best_effort for job in self._jobs.queue.list_pending_jobs()
         )
         return EmptyingRules(
-            is_settled, allow_finite_tasks=only_best_effort_pending, skipped=self._skipped_until
+            is_settled,
+            allow_finite_tasks=only_best_effort_pending,
+            skipped=self._scheduler.machines_with_reservations.union(self._skipped_until),
         )
 
     def _compute_mean_hourly_price(self) -> float:
--- a/flaxtally/leader/autoscaling/replica_moves.py
+++ b/flaxtally/leader/autoscaling/replica_moves.py
@@ -77,7 +77,10 @@
     def make_target_search(self) -> TargetSearch:
         """Returns the parameters of a search for machines to which replicas can move."""
         return TargetSearch(
-            self._jobs.gpu_reservations, self.policy.sample, self._jobs.find_excluded_zones
+            self._jobs.gpu_reservations,
+            self.policy.sample,
+            self._jobs.find_excluded_zones,
+            self._scheduler.make_availability_filter,
         )
 
     def _compute_max_disrupted_machines(self) -> int:
@@ -146,8 +149,7 @@
             if len(self._image_fetches_since) >= max_fetches:
                 return
             self._image_fetches_since[placed] = now
-        self._scheduler.hints[placed.job.number, placed.task] = target.name
-        self._commands.stop_task(placed, 0.0)
+        self._scheduler.move_task(placed, target)
 
     def _forget_completed_fetches(self, now: float) -> None:
         """Removes replicas that run on their new machine or whose move is overdue."""
--- a/flaxtally/leader/scheduling/preemption.py
+++ b/flaxtally/leader/scheduling/preemption.py
@@ -182,6 +182,10 @@
             self._reserve(placed.job, placed.task, machine, victims, Purpose.MOVE)
             self._stop(victims)
 
+    def reserve_for_move(self, placed: Placement, machine: Machine) -> None:
+        """Reserves capacity for a replica that is stopped now to be placed on the machine."""
+        self._reserve(placed.job, placed.task, machine, [], Purpose.MOVE)
+
     # For gangs
 
     def preempt_for_gang(self, job: Job) -> bool:
--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -249,6 +249,11 @@
         """Whether reservations ended since the last call of `take_freed_machines`."""
         return bool(self._freed_machines)
 
+    @property
+    def machine_names(self) -> frozenset[str]:
+        """The names of the machines with reserved capacity."""
+        return frozenset(self._by_machine)
+
     def has_task(self, key: TaskKey) -> bool:
         """Whether capacity is reserved for the task on any machine."""
         return key in self._by_task
--- a/flaxtally/leader/scheduling/scheduler.py
+++ b/flaxtally/leader/scheduling/scheduler.py
@@ -141,6 +141,21 @@
             if until > now - self.policy.settle
         }
 
+    # Moves of replicas
+
+    @property
+    def machines_with_reservations(self) -> frozenset[str]:
+        """The names of machines with reserved capacity, which must not be emptied meanwhile."""
+        return self._reservations.machine_names
+
+    def move_task(self, placed: Placement, machine: Machine) -> None:
+        """Stops a task so that it is placed on the machine, whose capacity is reserved for it."""
+        self.hints[placed.job.number, placed.task] = machine.name
+        self.preemption.reserve_for_move(placed, machine)
+        self.commands.stop_task(placed, 0.0)
+
+    # Machines
+
     def refresh_machines(self) -> None:
         """Updates machines whose schedulability changed through passing time alone."""
         self._machines.refresh()
--- a/flaxtally/planning/consolidation.py
+++ b/flaxtally/planning/consolidation.py
@@ -33,6 +33,8 @@
     sample_size: int
     find_excluded_zones: Callable[[Job, Placement], Collection[str]]
     """Returns the zones that a job may not use once this placement of it has moved."""
+    make_availability_filter: Callable[[Job], Callable[[Machine], bool] | None] = lambda _: None
+    """Returns a filter of machines whose capacity isn't reserved against the job; None: all."""
 
 
 @dataclass(frozen=True)
@@ -176,6 +178,7 @@
 ) -> Machine | None:
     """Returns the machine to which a replica of `machine` can move now; None: there is none."""
     job = placed.job
+    is_available = search.make_availability_filter(job)
     return choose_machine(
         job.spec,
         job.number,
@@ -183,7 +186,10 @@
         search.gpu_reservations,
         search.sample_size,
         search.find_excluded_zones(job, placed),
-        lambda other: can_move(machine, other, job.spec, index.machine_types),
+        lambda other: (
+            can_move(machine, other, job.spec, index.machine_types)
+            and (is_available is None or is_available(other))
+        ),
     )
 
 
--- a/tests/test_preemption_progress.py
+++ b/tests/test_preemption_progress.py
@@ -345,3 +345,92 @@
     # A job that has waited for long uses slow machines, too.
     assert cluster.run_until(lambda: is_done(cluster, "j-000002"), 70), cluster.trace[-40:]
     assert count_starts(cluster, "j-000001") <= 4
+
+
+def start_emptying(cluster: SimulatedCluster, name: str) -> None:
+    """Makes the leader move all replicas off the machine."""
+    duties = cluster.nodes[wait_for_leader(cluster)].leader.duties
+    machine = duties.term.fleet.machines[name]
+    duties.consolidation._moves.start_emptying(machine, cluster.sim.time)
+    machine.is_cordoned = True
+    machine.mark_changed()
+
+
+def service(ref: str, cores: float) -> wire.Spec:
+    """Returns the specification of a service with one replica in zone a."""
+    return spec(ref, cores=cores, zone="a", spread=False, rank="standard")
+
+
+def submit_one_by_one(cluster: SimulatedCluster, *jobs: tuple[wire.Spec, float | None]) -> None:
+    """Submits jobs with one task each and the run times of these, each once the last one runs."""
+    for job, run_time in jobs:
+        cluster.submit(job, run_time)
+        assert cluster.run_until(lambda: cluster.count(job.ref) == 1, 60), cluster.trace  # noqa: B023
+
+
+def test_moving_replica_gets_the_room_that_was_chosen_for_it() -> None:
+    # A replica is stopped to move to a machine that has room for it. Until it had left, another job
+    # took this room, and the replica found none.
+    cluster = start_scarce_cluster(machines=2)
+    submit_one_by_one(
+        cluster,
+        (service("j-000001", 12.0), None),
+        (service("j-000002", 12.0), None),
+        (service("j-000003", 4.0), None),
+    )
+    source = cluster.find_machine("j-000003/0")
+    is_first = cluster.find_machine("j-000001/0") == source
+    cluster.cancel("j-000001" if is_first else "j-000002")
+    target = cluster.find_machine("j-000002/0" if is_first else "j-000001/0")
+    cluster.run(2)
+    leader = cluster.nodes[wait_for_leader(cluster)].leader
+    placed = leader.state.jobs_by_ref["j-000003"].placements[0]
+    start_emptying(cluster, source)
+    assert cluster.run_until(lambda: placed.stopping_at is not None, 5), cluster.trace
+    late = service("j-000004", 4.0)
+    cluster.specs["j-000004"] = late
+    cluster.rules.record_submission(late)
+    leader.submit(late, lambda *_: None)
+    assert cluster.run_until(lambda: count_starts(cluster, "j-000003") == 2, 5), cluster.trace
+    assert cluster.find_machine("j-000003/0") == target
+
+
+def test_replica_does_not_move_into_reserved_room() -> None:
+    # The target of a move was chosen by what is free, also if that is reserved. The replica was
+    # stopped, was not let in there, and found no room.
+    cluster = start_scarce_cluster(machines=2)
+    saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": 9.0}
+    submit_one_by_one(
+        cluster,
+        (service("j-000001", 12.0), None),
+        (array("j-000002", team="guest", cores=8.0, **saving), 60.0),
+        (service("j-000003", 4.0), None),
+        (service("j-000004", 4.0), None),
+    )
+    source, target = cluster.find_machine("j-000003/0"), cluster.find_machine("j-000002/0")
+    assert (cluster.find_machine("j-000001/0"), cluster.find_machine("j-000004/0")) == (
+        source,
+        target,
+    )
+    cluster.run(6)
+    cluster.submit(array("j-000005", cores=12.0), run_time=30.0)
+    cluster.run(1)
+    cluster.cancel("j-000001")
+    start_emptying(cluster, source)
+    assert cluster.run_until(lambda: cluster.count("j-000005") == 1, 15), cluster.trace[-20:]
+    assert cluster.find_machine("j-000005/0") == target
+    assert cluster.count("j-000003") == count_starts(cluster, "j-000003") == 1
+
+
+def test_machine_with_reserved_room_is_not_emptied() -> None:
+    # A machine that is being emptied takes no new tasks: stopping tasks there was in vain.
+    cluster = start_scarce_cluster()
+    saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": 9.0}
+    submit_one_by_one(cluster, (array("j-000001", team="guest", cores=8.0, **saving), 60.0))
+    cluster.run(6)
+    cluster.submit(array("j-000002", cores=12.0), run_time=5.0)
+    cluster.run(2)
+    assert cluster.count("j-000002") == 0
+    consolidation = cluster.nodes[wait_for_leader(cluster)].leader.duties.consolidation
+    machine = cluster.find_machine("j-000001/0")
+    assert machine in consolidation._make_emptying_rules(cluster.sim.time).skipped
