Only tasks whose room is needed are stopped

What callers saw: tasks that were stopped and started again at once in the same place, since the pending task did not need their room.

Cause: victims are taken in the order of the work that their stop loses until the pending task fits. A larger one that is taken later can make earlier ones unnecessary; they were stopped all the same. For a gang, the last machine chosen was emptied for up to all of its tasks, not only for those that the machines before had left over.

Change: victims that are not needed are left out again, the costliest first; the last machine of a gang is searched again for the tasks that remain.

--- a/flaxtally/gangs/gang_preemption.py
+++ b/flaxtally/gangs/gang_preemption.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..lending.victim_selection import remove_unneeded
 from ..planning.packing import Bin, count_slots
 
 if TYPE_CHECKING:
@@ -78,16 +79,20 @@
     Takes the machines with the lowest cost per task first.
     """
     usable = [
-        slots
+        (candidate, slots)
         for candidate in candidates
         if (slots := _find_slots(spec, task_count, candidate, gpu_reservations)) is not None
     ]
-    usable.sort(key=lambda slots: (slots.preemption_cost / slots.task_count, -slots.task_count))
+    usable.sort(
+        key=lambda entry: (entry[1].preemption_cost / entry[1].task_count, -entry[1].task_count)
+    )
     chosen: list[MachineSlots] = []
     unplaced = task_count
-    for slots in usable:
+    for candidate, slots in usable:
         if unplaced <= 0:
             break
+        if slots.task_count > unplaced:
+            slots = _find_slots(spec, unplaced, candidate, gpu_reservations) or slots
         chosen.append(slots)
         unplaced -= slots.task_count
     return chosen if unplaced <= 0 else None
@@ -100,30 +105,33 @@
 
     None: the machine can't hold a task of the gang.
     """
-    free = candidate.free
-    removed: list[Placement] = []
-    removed_cost = 0.0
+    free = free_without_needed = candidate.free
+    removed: list[Victim] = []
+    needed: list[Victim] = []
     task_count = _count_tasks(spec, candidate, free, gpu_reservations)
-    victim_count = 0
-    preemption_cost = 0.0
     for victim in sorted(candidate.victims, key=lambda victim: victim.preemption_cost):
         if task_count >= max_tasks:
             break
         free = free.plus(victim.placement.job.spec)
-        removed.append(victim.placement)
-        removed_cost += victim.preemption_cost
+        removed.append(victim)
         count = _count_tasks(spec, candidate, free, gpu_reservations)
         if count > task_count:
             task_count = count
-            victim_count = len(removed)
-            preemption_cost = removed_cost
+            free_without_needed, needed = free, list(removed)
     if not task_count:
         return None
+    task_count = min(task_count, max_tasks)
+    _, needed = remove_unneeded(
+        needed,
+        free_without_needed,
+        lambda victim: victim.placement.job.spec,
+        lambda free: _count_tasks(spec, candidate, free, gpu_reservations) >= task_count,
+    )
     return MachineSlots(
         candidate.machine,
-        min(task_count, max_tasks),
-        tuple(removed[:victim_count]),
-        preemption_cost,
+        task_count,
+        tuple(victim.placement for victim in needed),
+        sum(victim.preemption_cost for victim in needed),
     )
 
 
--- a/tests/test_preemption_progress.py
+++ b/tests/test_preemption_progress.py
@@ -347,6 +347,36 @@
     assert count_starts(cluster, "j-000001") <= 4
 
 
+def test_only_tasks_whose_room_is_needed_are_stopped() -> None:
+    # Tasks were stopped in the order of the work that this loses until the pending one fitted. A
+    # small task that came first was stopped although the large one after it was enough.
+    cluster = start_scarce_cluster()
+    cluster.submit(array("j-000001", team="guest", rank="idle", cores=2.0), run_time=60.0)
+    saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": 9.0}
+    cluster.submit(array("j-000002", team="guest", rank="idle", cores=12.0, **saving), 60.0)
+    assert cluster.run_until(lambda: len(cluster.running) == 2, 60), cluster.trace
+    cluster.run(6)
+    cluster.submit(array("j-000003", cores=13.0), run_time=10.0)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000003"), 30), cluster.trace[-20:]
+    assert count_starts(cluster, "j-000001") == 1
+
+
+def test_only_as_many_tasks_are_stopped_for_a_gang_as_it_has_tasks() -> None:
+    # The last machine that was chosen for a gang was emptied as if all tasks of the gang were to
+    # be placed there.
+    cluster = start_scarce_cluster(machines=2)
+    idle = array("j-000001", 8, team="guest", rank="idle", cores=4.0)
+    cluster.submit(idle, run_time=60.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 8, 60), cluster.trace
+    cluster.run(2)
+    cluster.submit(
+        gang("j-000002", 5, cores=4.0, rank="high", zone="a", image_gb=0.5), run_time=10.0
+    )
+    assert cluster.run_until(lambda: cluster.count("j-000002") == 5, 20), cluster.trace[-20:]
+    assert cluster.count("j-000001") == 3
+    assert count_starts(cluster, "j-000001") == 8
+
+
 def start_emptying(cluster: SimulatedCluster, name: str) -> None:
     """Makes the leader move all replicas off the machine."""
     duties = cluster.nodes[wait_for_leader(cluster)].leader.duties
