What is reserved of a machine is reserved of the team's limit, too

What callers saw: room that was freed for a job stayed empty, and others were stopped for the job again and again, while a less important job of the same team used up the limit.

Cause: a reservation kept others out of the room, but the team's limit was free for any job of the team. Once the tasks that were stopped had left, the limit did not allow the start.

Change: a job leaves of its team's limit what is reserved for jobs of its team that it does not precede. A placed gang ends all its reservations at once. The log names as stopped only tasks that were not stopping before.

--- a/flaxtally/leader/jobs.py
+++ b/flaxtally/leader/jobs.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..ledger.records import JobAccepted, JobCancelled
+from ..lending.entitlement import NO_RESOURCES, Amounts
 from ..planning import placement
 from ..planning.forecast import ArrivalStatistics
 from ..protocol import formats, wire
@@ -273,12 +274,17 @@
             if count - (zone == excluded_zone) >= spec.max_tasks_per_zone
         )
 
-    def is_within_limit(self, spec: wire.Spec, count: int = 1) -> bool:
-        """Whether the team's hard limit allows `count` more tasks of a job."""
+    def is_within_limit(
+        self, spec: wire.Spec, count: int = 1, reserved: Amounts = NO_RESOURCES
+    ) -> bool:
+        """Whether the team's hard limit allows `count` more tasks of a job.
+
+        `reserved`: what the job must leave to other jobs of the team.
+        """
         team = self.term.limits.find_team(spec.team)
         if team is None:
             return False
-        cores, gpus = self.term.compute_team_usage(spec.team)
+        cores, gpus = self.term.compute_team_usage(spec.team).plus(reserved)
         return not (
             (
                 team.cores_max
--- a/flaxtally/leader/scheduling/preemption.py
+++ b/flaxtally/leader/scheduling/preemption.py
@@ -111,9 +111,7 @@
     def on_gang_placed(self, job: Job) -> None:
         """Drops the reservations of a gang that was placed."""
         self._quota_reclaim.on_gang_placed(job)
-        for placed in job.placements.values():
-            self._reservations.on_task_placed(placed)
-        self._reservations.remove_for_job(job)
+        self._reservations.on_gang_placed(job)
 
     # For single tasks
 
@@ -156,7 +154,13 @@
         return True
 
     def _log_stops(self, job: Job, task: TaskKey, plan: PreemptionPlan) -> None:
-        """Logs which tasks are stopped for which one, and by which right."""
+        """Logs which tasks are stopped for which one, and by which right.
+
+        Tasks that are stopping already are left out.
+        """
+        stopped = [placed.name for placed in plan.victims if placed.stopping_at is None]
+        if not stopped:
+            return
         rank = wire.RANKS[job.spec.rank]
         is_by_rank = all(wire.RANKS[placed.job.spec.rank] > rank for placed in plan.victims)
         log.info(
@@ -165,7 +169,7 @@
             job.spec.ref,
             task[1],
             plan.machine.name,
-            ",".join(placed.name for placed in plan.victims),
+            ",".join(stopped),
             "rank" if is_by_rank else "guarantee",
             plan.cost,
         )
@@ -220,6 +224,12 @@
         return True
 
     def _execute_gang_plan(self, job: Job, choice: list[MachineSlots]) -> None:
+        stopped = [
+            placed.name
+            for slots in choice
+            for placed in slots.victims
+            if placed.stopping_at is None
+        ]
         tasks = iter(range(job.spec.tasks))
         for slots in choice:
             for task in itertools.islice(tasks, slots.task_count):
@@ -230,7 +240,7 @@
             self.term.number,
             job.spec.ref,
             len(choice),
-            ",".join(placed.name for slots in choice for placed in slots.victims),
+            ",".join(stopped),
         )
 
     # Execution
--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, TypeVar
 
+from ...lending.entitlement import NO_RESOURCES, Amounts, compute_amounts
 from ...planning import placement
 from ...protocol import wire
 from ..term import Term, TermActor
@@ -151,7 +152,17 @@
             precedence = self._get_precedence(fulfilled)
             self._remove(fulfilled)
         placed.was_placed_within_quota = not precedence.is_over_quota
-        if placed.machine in self._by_machine:
+        self._end_overridden(placed)
+
+    def on_gang_placed(self, job: Job) -> None:
+        """Like `on_task_placed`, for all tasks of a gang at once."""
+        reserved = self._by_job.get(job.number, ())
+        precedence = min(
+            map(self._get_precedence, reserved), default=self._queue.get_precedence(job)
+        )
+        self.remove_for_job(job)
+        for placed in job.placements.values():
+            placed.was_placed_within_quota = not precedence.is_over_quota
             self._end_overridden(placed)
 
     def _find_fulfilled(self, placed: Placement) -> Reservation | None:
@@ -172,7 +183,7 @@
     def _end_overridden(self, placed: Placement) -> None:
         """Ends the reservations on the machine for which there is no capacity any more."""
         machine = self.fleet.machines.get(placed.machine)
-        if machine is None:
+        if machine is None or machine.name not in self._by_machine:
             return
         reserved = sorted(self._by_machine[machine.name], key=self._get_precedence)
         expected = self._compute_expected(machine, reserved)
@@ -273,6 +284,32 @@
                 return self.fleet.machines.get(reservation.machine)
         return None
 
+    def compute_reserved_for_team(self, job: Job) -> Amounts:
+        """Returns how much of its team's limit the job must leave to jobs of its team.
+
+        That is what is reserved for those that it does not precede, without what tasks of the team
+        use that leave for them.
+        """
+        reserved = NO_RESOURCES
+        if not self._by_task:
+            return reserved
+        precedence = self._queue.get_precedence(job)
+        awaited: set[Placement] = set()
+        for reservation in self._by_task.values():
+            other = reservation.job
+            if (
+                other is not job
+                and other.spec.team == job.spec.team
+                and reservation.purpose is Purpose.PREEMPTION
+                and not precedence < self._get_precedence(reservation)
+            ):
+                reserved = reserved.plus(compute_amounts(other.spec))
+                awaited.update(reservation.list_remaining())
+        for placed in awaited:
+            if placed.job.spec.team == job.spec.team:
+                reserved = reserved.minus(compute_amounts(placed.job.spec))
+        return Amounts(max(0.0, reserved.cores), max(0.0, reserved.gpus))
+
     def make_filter(self, job: Job) -> Callable[[Machine], bool] | None:
         """Returns a filter of machines that have capacity for the job; None: nothing is reserved.
 
--- a/flaxtally/leader/scheduling/scheduler.py
+++ b/flaxtally/leader/scheduling/scheduler.py
@@ -18,6 +18,7 @@
 
     from ...ledger.job import Job
     from ...ledger.placement import Placement
+    from ...lending.entitlement import Amounts
     from ...planning.fleet import Machine
     from ...planning.machine_index import MachineIndex
     from ..commands import CommandSender
@@ -204,6 +205,10 @@
             return unreserved or unclaimed
         return lambda machine: unreserved(machine) and unclaimed(machine)
 
+    def compute_reserved(self, job: Job) -> Amounts:
+        """Returns how much of its team's limit the job must leave to other jobs of its team."""
+        return self._reservations.compute_reserved_for_team(job)
+
     def get_precedence(self, job: Job) -> Precedence:
         """Returns the job's precedence over others."""
         return self.jobs.queue.get_precedence(job)
@@ -214,6 +219,11 @@
         """Places all due tasks of a gang, or none; returns how many were placed."""
         if not self.gang_scheduler.is_due(job):
             return 0
+        # A replacement of a lost task may use what is left: otherwise the whole gang would stop.
+        if not job.placements and not self.jobs.is_within_limit(
+            job.spec, job.spec.tasks, self.compute_reserved(job)
+        ):
+            return 0
         count = self.gang_scheduler.place_gang(
             job, index, self.make_availability_filter(job), reserve_for_gpus=not is_overdue
         )
@@ -221,7 +231,7 @@
             self.preemption.on_gang_placed(job)
             self.gang_reservations.on_gang_placed(job)
             self._machines.apply_changes()
-        elif not job.placements and self.jobs.is_within_limit(job.spec, job.spec.tasks):
+        elif not job.placements:
             self._make_capacity_for_gang(job, index, is_overdue=is_overdue)
         return count
 
--- a/flaxtally/leader/scheduling/scheduling_pass.py
+++ b/flaxtally/leader/scheduling/scheduling_pass.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from ...ledger.job import Job
+    from ...lending.entitlement import Amounts
     from ...policy import Policy
     from ..jobs import JobRegistry
     from ..term import Term
@@ -51,6 +52,9 @@
     def make_availability_filter(self, job: Job) -> MachineFilter | None:
         """Returns a filter of machines whose capacity isn't reserved against the job; None: all."""
 
+    def compute_reserved(self, job: Job) -> Amounts:
+        """Returns how much of its team's limit the job must leave to other jobs of its team."""
+
     def get_precedence(self, job: Job) -> Precedence:
         """Returns the job's precedence over others."""
 
@@ -157,7 +161,7 @@
     def _try_suspect(self, job: Job) -> bool:
         """Places one task without preemption, as it is likely to fail; False: over the limit."""
         is_available = self._scheduler.make_availability_filter(job)
-        if not self._jobs.is_within_limit(job.spec):
+        if not self._jobs.is_within_limit(job.spec, 1, self._scheduler.compute_reserved(job)):
             return False
         request = self._make_request(job, is_available)
         machine = self._find_machine(request, None)
@@ -167,9 +171,10 @@
 
     def _place_tasks(self, job: Job) -> bool:
         is_available = self._scheduler.make_availability_filter(job)
+        reserved = self._scheduler.compute_reserved(job)
         machine: Machine | None = None
         while job.pending_count and not self.is_full:
-            if not self._jobs.is_within_limit(job.spec):
+            if not self._jobs.is_within_limit(job.spec, 1, reserved):
                 return False
             request = self._make_request(job, is_available)
             machine = self._find_machine(request, machine)
--- a/tests/test_preemption_progress.py
+++ b/tests/test_preemption_progress.py
@@ -377,6 +377,21 @@
     assert count_starts(cluster, "j-000001") == 8
 
 
+def test_limit_of_the_team_is_left_to_the_job_that_others_were_stopped_for() -> None:
+    # The room that was freed for a job of a team at its limit stayed empty: while other tasks were
+    # still saving, a less important job of the same team used what the limit had left.
+    cluster = start_scarce_cluster(team=Team("crew", 15.0, 15.0, 0.0, 0.0))
+    saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": 6.0}
+    cluster.submit(array("j-000001", team="guest", rank="idle", cores=10.0, **saving), 60.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 1, 60), cluster.trace
+    cluster.submit(array("j-000002", rank="idle", cores=4.0), run_time=4.0)
+    cluster.run(2)
+    cluster.submit(array("j-000003", cores=10.0), run_time=5.0)
+    cluster.run(0.5)
+    cluster.submit(array("j-000004", rank="idle", cores=6.0), run_time=40.0)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000003"), 20), cluster.trace[-20:]
+
+
 def start_emptying(cluster: SimulatedCluster, name: str) -> None:
     """Makes the leader move all replicas off the machine."""
     duties = cluster.nodes[wait_for_leader(cluster)].leader.duties
