A task that is placed leaves the reservation of another task of its job as it is, if it can

What callers saw: more stops than a job needed.

Cause: a reservation counted as fulfilled by any task of its job on the machine.

Change: it ends with its own task, or when there is no room for it any more beside what was placed.

--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -143,42 +143,28 @@
     def on_task_placed(self, placed: Placement) -> None:
         """Removes the placed task's reservation, and those that its placement made impossible.
 
-        The placement keeps the precedence for which its capacity was reserved: only then does it
-        count as within its team's quota after further jobs of the team were accepted.
+        The placement keeps the precedence for which capacity was reserved for its job: only then
+        does it count as within its team's quota after further jobs of the team were accepted.
         """
-        fulfilled = self._find_fulfilled(placed)
-        precedence = self._queue.get_precedence(placed.job)
+        precedence = self._find_best_precedence(placed.job)
+        fulfilled = self._by_task.get((placed.job.number, placed.task))
         if fulfilled is not None:
-            precedence = self._get_precedence(fulfilled)
             self._remove(fulfilled)
         placed.was_placed_within_quota = not precedence.is_over_quota
         self._end_overridden(placed)
 
     def on_gang_placed(self, job: Job) -> None:
         """Like `on_task_placed`, for all tasks of a gang at once."""
-        reserved = self._by_job.get(job.number, ())
-        precedence = min(
-            map(self._get_precedence, reserved), default=self._queue.get_precedence(job)
-        )
+        precedence = self._find_best_precedence(job)
         self.remove_for_job(job)
         for placed in job.placements.values():
             placed.was_placed_within_quota = not precedence.is_over_quota
             self._end_overridden(placed)
 
-    def _find_fulfilled(self, placed: Placement) -> Reservation | None:
-        """Returns the task's reservation, or one for another task of its job on the machine."""
-        exact = self._by_task.get((placed.job.number, placed.task))
-        if exact is not None:
-            return exact
-        return next(
-            (
-                reservation
-                for reservation in self._by_job.get(placed.job.number, ())
-                if reservation.machine == placed.machine
-                and reservation.purpose is Purpose.PREEMPTION
-            ),
-            None,
-        )
+    def _find_best_precedence(self, job: Job) -> Precedence:
+        """Returns the precedence that the job has now or had when capacity was reserved for it."""
+        reserved = self._by_job.get(job.number, ())
+        return min(map(self._get_precedence, reserved), default=self._queue.get_precedence(job))
 
     def _end_overridden(self, placed: Placement) -> None:
         """Ends the reservations on the machine for which there is no capacity any more."""
@@ -191,16 +177,20 @@
             if expected.holds(reservation.job.spec):
                 expected = expected.minus(reservation.job.spec)
                 continue
-            log.info(
-                "event=reservation_overridden term=%d task=%s machine=%s reserved_for=%s/%d",
-                self.term.number,
-                placed.name,
-                placed.machine,
-                reservation.job.spec.ref,
-                reservation.task,
-            )
+            if reservation.job is not placed.job:
+                self._log_override(reservation, placed)
             self._end(reservation)
 
+    def _log_override(self, reservation: Reservation, placed: Placement) -> None:
+        log.info(
+            "event=reservation_overridden term=%d task=%s machine=%s reserved_for=%s/%d",
+            self.term.number,
+            placed.name,
+            placed.machine,
+            reservation.job.spec.ref,
+            reservation.task,
+        )
+
     def _end(self, reservation: Reservation) -> None:
         """Removes a reservation; one task of a gang can't be placed without the others."""
         if reservation.job.spec.job_kind == wire.GANG:
