Room that is free for a waiting task is not given away because more comes free for another later

What callers saw: a task for which others had been stopped, and had left, was not started before its reservation was too old.

Cause: whether a job fits beside several reservations on a machine was asked for the moment at which all tasks that were stopped have left. A job that fits then could take what was free now, and the task whose room was free already had to wait for the victims of another one.

Change: the job must fit beside the reservations that wait for nothing, and then beside each further one as its victims leave.

--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -325,11 +325,22 @@
     def _has_capacity_beside(
         self, machine: Machine, reserved: Iterable[Reservation], job: Job
     ) -> bool:
-        """Whether the job fits in addition to reservations, once all awaited tasks have left."""
-        expected = self._compute_expected(machine, reserved)
-        for reservation in reserved:
+        """Whether the job fits in addition to reservations, now and as the awaited tasks leave.
+
+        It must not take room that is free now from a task that waits for nothing else, even if
+        enough room for both comes free for another reservation later.
+        """
+        machine_type = self.term.machine_types[machine.machine_type]
+        expected = placement.compute_free_resources(machine, machine_type)
+        leaving: set[Placement] = set()
+        for reservation in sorted(reserved, key=lambda each: bool(each.list_remaining())):
+            for placed in set(reservation.list_remaining()) - leaving:
+                leaving.add(placed)
+                expected = expected.plus(placed.job.spec)
             expected = expected.minus(reservation.job.spec)
-        return expected.holds(job.spec)
+            if not expected.holds(job.spec):
+                return False
+        return True
 
     def _compute_expected(
         self, machine: Machine, reserved: Iterable[Reservation]
