Reservations and reclaims on a machine are compared with a job together

What callers saw, with lending: room for which others had been stopped was taken, and more tasks were stopped for the same job.

Cause: what is reserved after stops and what a reclaim keeps are two kinds of claims on a machine, and each was compared with the free room by itself, by code that stood twice. A job that fits beside either of them may not fit beside both.

Change: `planning/capacity_claims.py` compares a job with all claims on a machine; `scheduling/availability.py` collects them. Both former copies are gone.

--- a/flaxtally/leader/reclaim/reclaimed_capacity.py
+++ b/flaxtally/leader/reclaim/reclaimed_capacity.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Protocol
 
-from ...planning import placement
+from ...planning.capacity_claims import CapacityClaim
 from ..term import Term, TermActor
 
 if TYPE_CHECKING:
@@ -67,37 +67,28 @@
             return self.runtime.now() - self.term.began_at < self.policy.machine_suspect
         return self._machine_status.is_schedulable(machine)
 
-    def make_reservation_filter(self, job: Job) -> Callable[[Machine], bool] | None:
-        """Returns a filter of machines that hold the job beside reserved capacity.
+    def make_claim_list(self, job: Job) -> Callable[[str], list[CapacityClaim]] | None:
+        """Returns a function that lists the claims on a machine by reclaims for other jobs.
 
-        None: no capacity is reserved.
+        The function takes the machine's name. None: no capacity is reclaimed.
         """
         by_machine = self._open_reclaims.get_by_machine()
         if not by_machine:
             return None
 
-        def accepts(machine: Machine) -> bool:
-            return machine.name not in by_machine or self._has_capacity_beside_others(machine, job)
+        def list_claims(machine: str) -> list[CapacityClaim]:
+            return [
+                self._to_claim(entry.reclaim)
+                for entry in by_machine.get(machine, ())
+                if entry.reclaim.job != job.number and entry.reclaim.job in self.ledger.state.jobs
+            ]
 
-        return accepts
+        return list_claims
 
-    def _has_capacity_beside_others(self, machine: Machine, job: Job) -> bool:
-        machine_type = self.term.machine_types.get(machine.machine_type)
-        if machine_type is None:
-            return False
-        expected = placement.compute_free_resources(machine, machine_type)
-        entries = self._open_reclaims.get_by_machine()[machine.name]
-        others = [entry for entry in entries if entry.reclaim.job != job.number]
-        for spec in self._open_reclaims.get_reserved_specs(others):
-            expected = expected.minus(spec)
-        victims = {
-            placed
-            for entry in others
-            for placed in self._open_reclaims.find_remaining_victims(entry.reclaim)
-        }
-        for placed in victims:
-            expected = expected.plus(placed.job.spec)
-        return expected.holds(job.spec)
+    def _to_claim(self, reclaim: Reclaim) -> CapacityClaim:
+        spec = self.ledger.state.jobs[reclaim.job].spec
+        leaving = self._open_reclaims.find_remaining_victims(reclaim)
+        return CapacityClaim(spec, reclaim.tasks, leaving)
 
     def get_reserved_specs_on(self, machine: str) -> list[wire.Spec]:
         """Returns the spec of each task for which reclaims reserve capacity on a machine."""
--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -8,11 +8,12 @@
 
 from ...lending.entitlement import NO_RESOURCES, Amounts, compute_amounts
 from ...planning import placement
+from ...planning.capacity_claims import CapacityClaim, find_unsatisfiable
 from ...protocol import wire
 from ..term import Term, TermActor
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator, Sequence
+    from collections.abc import Callable, Iterator, Sequence
 
     from ...ledger.job import Job
     from ...ledger.placement import Placement
@@ -74,6 +75,10 @@
         """Returns the awaited tasks that have not left the machine yet."""
         return [placed for placed in self.awaited if placed.is_current]
 
+    def to_claim(self) -> CapacityClaim:
+        """Returns what it claims of its machine now."""
+        return CapacityClaim(self.job.spec, 1, self.list_remaining())
+
     def is_fulfilled(self) -> bool:
         """Whether its job needs it no longer, since it was placed or is terminal."""
         if self.job.is_terminal:
@@ -171,12 +176,11 @@
         machine = self.fleet.machines.get(placed.machine)
         if machine is None or machine.name not in self._by_machine:
             return
+        machine_type = self.term.machine_types[machine.machine_type]
+        free = placement.compute_free_resources(machine, machine_type)
         reserved = sorted(self._by_machine[machine.name], key=self._get_precedence)
-        expected = self._compute_expected(machine, reserved)
-        for reservation in reserved:
-            if expected.holds(reservation.job.spec):
-                expected = expected.minus(reservation.job.spec)
-                continue
+        for position in find_unsatisfiable(free, [each.to_claim() for each in reserved]):
+            reservation = reserved[position]
             if reservation.job is not placed.job:
                 self._log_override(reservation, placed)
             self._end(reservation)
@@ -300,57 +304,23 @@
                 reserved = reserved.minus(compute_amounts(placed.job.spec))
         return Amounts(max(0.0, reserved.cores), max(0.0, reserved.gpus))
 
-    def make_filter(self, job: Job) -> Callable[[Machine], bool] | None:
-        """Returns a filter of machines that have capacity for the job; None: nothing is reserved.
+    def make_claim_list(self, job: Job) -> Callable[[str], list[CapacityClaim]] | None:
+        """Returns a function that lists the claims on a machine that keep the job out.
 
-        The filter only checks what is reserved against the job.
+        The function takes the machine's name. None: nothing is reserved.
         """
         if not self._by_task:
             return None
         precedence = self._queue.get_precedence(job)
 
-        def accepts(machine: Machine) -> bool:
-            reserved = self._by_machine.get(machine.name)
-            if not reserved:
-                return True
-            blocking = [
-                each
-                for each in reserved
+        def list_claims(machine: str) -> list[CapacityClaim]:
+            return [
+                each.to_claim()
+                for each in self._by_machine.get(machine, ())
                 if each.job is not job and not precedence < self._get_precedence(each)
             ]
-            return not blocking or self._has_capacity_beside(machine, blocking, job)
-
-        return accepts
 
-    def _has_capacity_beside(
-        self, machine: Machine, reserved: Iterable[Reservation], job: Job
-    ) -> bool:
-        """Whether the job fits in addition to reservations, now and as the awaited tasks leave.
-
-        It must not take room that is free now from a task that waits for nothing else, even if
-        enough room for both comes free for another reservation later.
-        """
-        machine_type = self.term.machine_types[machine.machine_type]
-        expected = placement.compute_free_resources(machine, machine_type)
-        leaving: set[Placement] = set()
-        for reservation in sorted(reserved, key=lambda each: bool(each.list_remaining())):
-            for placed in set(reservation.list_remaining()) - leaving:
-                leaving.add(placed)
-                expected = expected.plus(placed.job.spec)
-            expected = expected.minus(reservation.job.spec)
-            if not expected.holds(job.spec):
-                return False
-        return True
-
-    def _compute_expected(
-        self, machine: Machine, reserved: Iterable[Reservation]
-    ) -> placement.FreeResources:
-        """Returns the free resources once the awaited tasks of these reservations have left."""
-        machine_type = self.term.machine_types[machine.machine_type]
-        expected = placement.compute_free_resources(machine, machine_type)
-        for placed in {each for reservation in reserved for each in reservation.list_remaining()}:
-            expected = expected.plus(placed.job.spec)
-        return expected
+        return list_claims
 
     def compute_unreserved(
         self, machine: Machine, machine_type: wire.MachineType, precedence: Precedence
--- a/flaxtally/leader/scheduling/scheduler.py
+++ b/flaxtally/leader/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from ..jobs import MAX_UNCOMMITTED_RECORDS, JobRegistry
 from ..reconciliation.attempt_finisher import EndReason
 from ..term import Term, TermActor
+from .availability import Availability
 from .scheduling_pass import SchedulingPass
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         self._quota_reclaim = preemption_parts.quota_reclaim
         self._reclaimed_capacity = preemption_parts.reclaimed_capacity
         self._reservations = preemption_parts.reservations
+        self._availability = Availability(term, self._reservations, self._reclaimed_capacity)
         self.gang_reservations = GangReservations(term, jobs, self._reservations)
         self.examined_count = 0
         """The number of machines that passes have examined."""
@@ -196,14 +198,9 @@
     def make_availability_filter(self, job: Job) -> MachineFilter | None:
         """Returns a filter of machines whose capacity isn't reserved against the job.
 
-        Capacity may be reserved for a job that precedes it or is equal, or by a reclaim. Returns
-        None if nothing is reserved.
+        Capacity may be reserved for a job that precedes it or is equal, or by a reclaim.
         """
-        unreserved = self._reservations.make_filter(job)
-        unclaimed = self._reclaimed_capacity.make_reservation_filter(job)
-        if unreserved is None or unclaimed is None:
-            return unreserved or unclaimed
-        return lambda machine: unreserved(machine) and unclaimed(machine)
+        return self._availability.make_filter(job)
 
     def compute_reserved(self, job: Job) -> Amounts:
         """Returns how much of its team's limit the job must leave to other jobs of its team."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -19,13 +19,17 @@
 
 from .scenarios import check_final_state
 from .simulated_cluster import SimulatedCluster, gang, spec
+from .simulated_lending import LENDING_FEATURE
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-SEEDS = (0, 1, 2, 51, 256, 414)
-"""Seeds 51 and 414 found faults: a team's limit that was used up while room was reserved, and room
-that was free for one task and taken since more would come free for another.
+    from flaxtally.lending.feature import LendingFeature
+
+SEEDS = (0, 1, 2, 51, 65, 256, 414)
+"""Some found faults. 51: a team's limit was used up while room was reserved. 65, with lending: a
+task fitted beside what was reserved and beside what was reclaimed, but not beside both. 414: room
+that was free for one task was taken since more would come free for another.
 """
 SOAK_SEEDS = range(int(os.environ.get("FLAXTALLY_SOAK_SEEDS", "0"))) or SEEDS
 TEAMS = (
@@ -142,9 +146,17 @@
     logger.handlers = handlers
 
 
-def start_overloaded_cluster(seed: int) -> SimulatedCluster:
+class ClusterWithLending(SimulatedCluster):
+    """A cluster in which teams lend each other what they don't use of their quotas."""
+
+    def build_lending_feature(self, node: str) -> LendingFeature | None:
+        return LENDING_FEATURE
+
+
+def start_overloaded_cluster(seed: int, *, is_lending: bool) -> SimulatedCluster:
     """Starts a cluster with two machines in zone a and one in zone b."""
-    cluster = SimulatedCluster(seed, team=TEAMS[0], other_teams=TEAMS[1:])
+    cluster_class = ClusterWithLending if is_lending else SimulatedCluster
+    cluster = cluster_class(seed, team=TEAMS[0], other_teams=TEAMS[1:])
     for pool in cluster.cloud._capacity:
         cluster.cloud._capacity[pool] = 0
     cluster.cloud._capacity["c16", "a", False] = 2
@@ -189,11 +201,14 @@
     return job, run_time
 
 
+@pytest.mark.parametrize("is_lending", [False, True])
 @pytest.mark.parametrize("seed", SOAK_SEEDS)
-def test_all_work_is_done_and_no_stop_is_in_vain(seed: int, scheduling_log: logging.Logger) -> None:
+def test_all_work_is_done_and_no_stop_is_in_vain(
+    seed: int, is_lending: bool, scheduling_log: logging.Logger
+) -> None:
     # Jobs that stopped each other for ever, stops without a start, and small jobs that were kept
     # out of free room, as in review/4, in random orders and with changes of leader.
-    cluster = start_overloaded_cluster(seed)
+    cluster = start_overloaded_cluster(seed, is_lending=is_lending)
     audit = StopAudit(cluster)
     scheduling_log.addHandler(audit)
     rng = cluster.rng
