With lending, a stop by rank needs precedence, too

A job of a higher rank, not entitled to what others borrow, stopped a borrower's task; that task's job precedes it, since it is within its team's guarantee by demand, and took the room again every half second.

Cause: `LendingPolicy` let the rank alone decide about other teams' tasks, while queue and reservations go by precedence. Only a reclaim keeps its room from those that precede.

Change: a job that is not entitled stops another team's task only if it also precedes its job.

The tests of lending pass.

--- a/flaxtally/leader/scheduling/lending_policy.py
+++ b/flaxtally/leader/scheduling/lending_policy.py
@@ -15,6 +15,7 @@
 
     from ...ledger.job import Job
     from ...ledger.placement import Placement
+    from ..jobs import JobRegistry
     from ..reclaim.open_reclaims import OpenReclaims
     from ..reclaim.quota_accounting import QuotaAccounting
     from ..reclaim.reclaim_admission import ReclaimAdmission
@@ -62,13 +63,18 @@
     def __init__(
         self,
         term: Term,
+        jobs: JobRegistry,
         quota_accounting: QuotaAccounting,
         admission: ReclaimAdmission,
         open_reclaims: OpenReclaims,
         reclaimed_capacity: ReclaimedCapacity,
     ) -> None:
-        """`reclaimed_capacity` knows the zones in which capacity is being reclaimed."""
+        """The queue of `jobs` knows the precedence of jobs.
+
+        `reclaimed_capacity` knows the zones in which capacity is being reclaimed.
+        """
         super().__init__(term)
+        self._jobs = jobs
         self._quota_accounting = quota_accounting
         self._admission = admission
         self._open_reclaims = open_reclaims
@@ -134,11 +140,19 @@
             return other_rank > rank
         if other.job_kind == wire.SERVICE and other_rank < rank:
             return False
-        if not (other_rank > rank or request.is_entitled):
+        if not request.is_entitled and not self._may_preempt_by_rank(placed, request):
             return False
         is_borrowed = other.team in self._borrowers and not self._admission.was_reclaimed(placed)
         return is_borrowed or self._open_reclaims.will_stop(placed)
 
+    def _may_preempt_by_rank(self, placed: Placement, request: PreemptionRequest) -> bool:
+        """Whether the job outranks another team's task, and would not be overtaken by it again.
+
+        Only a reclaim keeps its capacity from jobs that precede.
+        """
+        outranks = wire.RANKS[placed.job.spec.rank] > wire.RANKS[request.spec.rank]
+        return outranks and request.precedence < self._jobs.queue.get_precedence(placed.job)
+
     def is_last_resort(self, placed: Placement, spec: wire.Spec) -> bool:
         """Whether the task is a replica of another team."""
         other = placed.job.spec
--- a/flaxtally/leader/scheduling/preemption_parts.py
+++ b/flaxtally/leader/scheduling/preemption_parts.py
@@ -60,7 +60,7 @@
     cost = PreemptionCost(gang_scheduler, open_reclaims)
     policies = PreemptionPolicies(
         RankPolicy(term, jobs, cost),
-        LendingPolicy(term, quota_accounting, admission, open_reclaims, reclaimed_capacity),
+        LendingPolicy(term, jobs, quota_accounting, admission, open_reclaims, reclaimed_capacity),
         quota_accounting,
     )
     victim_search = VictimSearch(
