A reservation ends if a reclaim leaves no room for it

What callers saw, with lending: a pending task and one for which capacity was reclaimed waited for each other on a machine for up to 5 s.

Cause: after each placement, reservations without room are ended, but what reclaims keep on the machine was not counted then.

Change: the claims of reclaims count first.

--- a/flaxtally/leader/reclaim/reclaimed_capacity.py
+++ b/flaxtally/leader/reclaim/reclaimed_capacity.py
@@ -72,18 +72,21 @@
 
         The function takes the machine's name. None: no capacity is reclaimed.
         """
-        by_machine = self._open_reclaims.get_by_machine()
-        if not by_machine:
+        if not self._open_reclaims.get_by_machine():
             return None
+        return lambda machine: self.list_claims_on(machine, job)
 
-        def list_claims(machine: str) -> list[CapacityClaim]:
-            return [
-                self._to_claim(entry.reclaim)
-                for entry in by_machine.get(machine, ())
-                if entry.reclaim.job != job.number and entry.reclaim.job in self.ledger.state.jobs
-            ]
+    def list_claims_on(self, machine: str, job: Job | None = None) -> list[CapacityClaim]:
+        """Returns the claims on a machine by reclaims for jobs other than `job`.
 
-        return list_claims
+        `machine`: its name.
+        """
+        own_number = job.number if job is not None else None
+        return [
+            self._to_claim(entry.reclaim)
+            for entry in self._open_reclaims.get_by_machine().get(machine, ())
+            if entry.reclaim.job != own_number and entry.reclaim.job in self.ledger.state.jobs
+        ]
 
     def _to_claim(self, reclaim: Reclaim) -> CapacityClaim:
         spec = self.ledger.state.jobs[reclaim.job].spec
--- a/flaxtally/leader/scheduling/preemption_parts.py
+++ b/flaxtally/leader/scheduling/preemption_parts.py
@@ -51,11 +51,11 @@
 ) -> PreemptionParts:
     """Builds the objects for one term: state, then decisions, then their execution."""
     machines = SchedulableMachines(term, reconciler)
-    reservations = Reservations(term, jobs.queue, reconciler)
     open_reclaims = OpenReclaims(term.ledger)
     quota_accounting = QuotaAccounting(term, commands, open_reclaims, feature)
     admission = ReclaimAdmission(term, jobs, open_reclaims, pools, feature)
     reclaimed_capacity = ReclaimedCapacity(term, jobs, open_reclaims, reconciler)
+    reservations = Reservations(term, jobs.queue, reconciler, reclaimed_capacity)
 
     cost = PreemptionCost(gang_scheduler, open_reclaims)
     policies = PreemptionPolicies(
--- a/flaxtally/leader/scheduling/reservations.py
+++ b/flaxtally/leader/scheduling/reservations.py
@@ -18,7 +18,7 @@
     from ...ledger.job import Job
     from ...ledger.placement import Placement
     from ...planning.fleet import Machine
-    from ..reclaim.reclaimed_capacity import MachineStatus
+    from ..reclaim.reclaimed_capacity import MachineStatus, ReclaimedCapacity
     from .pending_queue import PendingQueue
     from .precedence import Precedence
 
@@ -95,9 +95,19 @@
     others.
     """
 
-    def __init__(self, term: Term, queue: PendingQueue, machine_status: MachineStatus) -> None:
-        """Starts without reservations; `queue` knows the precedence of jobs."""
+    def __init__(
+        self,
+        term: Term,
+        queue: PendingQueue,
+        machine_status: MachineStatus,
+        reclaimed_capacity: ReclaimedCapacity,
+    ) -> None:
+        """Starts without reservations.
+
+        `queue` knows the precedence of jobs, `reclaimed_capacity` what reclaims keep from all.
+        """
         super().__init__(term)
+        self._reclaimed_capacity = reclaimed_capacity
         self._queue = queue
         self._machine_status = machine_status
         self._by_task: dict[TaskKey, Reservation] = {}
@@ -179,8 +189,13 @@
         machine_type = self.term.machine_types[machine.machine_type]
         free = placement.compute_free_resources(machine, machine_type)
         reserved = sorted(self._by_machine[machine.name], key=self._get_precedence)
-        for position in find_unsatisfiable(free, [each.to_claim() for each in reserved]):
-            reservation = reserved[position]
+        reclaimed = self._reclaimed_capacity.list_claims_on(machine.name)
+        claims = [*reclaimed, *(each.to_claim() for each in reserved)]
+        for position in find_unsatisfiable(free, claims):
+            if position < len(reclaimed):
+                # The reclaim moves to another machine by itself.
+                continue
+            reservation = reserved[position - len(reclaimed)]
             if reservation.job is not placed.job:
                 self._log_override(reservation, placed)
             self._end(reservation)
--- a/flaxtally/planning/capacity_claims.py
+++ b/flaxtally/planning/capacity_claims.py
@@ -51,10 +51,11 @@
         expected = _add_leaving(expected, claim, leaving)
     unsatisfiable = []
     for position, claim in enumerate(claims):
-        if expected.holds(claim.spec):
+        for _ in range(claim.task_count):
+            if not expected.holds(claim.spec):
+                unsatisfiable.append(position)
+                break
             expected = expected.minus(claim.spec)
-        else:
-            unsatisfiable.append(position)
     return unsatisfiable
 
 
