Only what a team uses beyond its guarantee is stopped for another team's guarantee

What callers saw: tasks of a team that used less than its guarantee were stopped for another team's guarantee, if pending work of their team made their job count as beyond it.

Cause: the right to stop was derived from the demand of the team alone.

Change: without lending, too, a decision may take from a team only what it uses beyond its quota, by the budget that lending has had (now `quota_budget.py`); lower ranks may be stopped as before.

--- a/flaxtally/leader/scheduling/lending_policy.py
+++ b/flaxtally/leader/scheduling/lending_policy.py
@@ -6,9 +6,9 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from ...lending.entitlement import ReclaimBudget, compute_amounts
 from ...protocol import wire
 from ..term import Term, TermActor
+from .quota_budget import QuotaBudget
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable
@@ -29,34 +29,6 @@
 """
 
 
-class QuotaBudget:
-    """Allows victims of another team only while that team keeps its quota."""
-
-    def __init__(
-        self, team: str, reclaim_budget: ReclaimBudget, open_reclaims: OpenReclaims
-    ) -> None:
-        """`team`: the team that preempts, whose own tasks are not counted."""
-        self._team = team
-        self._reclaim_budget = reclaim_budget
-        self._open_reclaims = open_reclaims
-        self._gangs: set[int] = set()
-        """Numbers of the gangs that are counted already, since a gang stops as a whole."""
-
-    def try_take(self, placed: Placement) -> bool:
-        """Whether the task's team keeps its quota without it; if so, counts the task as taken."""
-        job = placed.job
-        will_stop = job.number in self._gangs or self._open_reclaims.will_stop(placed)
-        if job.spec.team == self._team or will_stop:
-            return True
-        is_gang = job.spec.job_kind == wire.GANG
-        task_count = len(job.placements) if is_gang else 1
-        if not self._reclaim_budget.try_take(job.spec.team, compute_amounts(job.spec, task_count)):
-            return False
-        if is_gang:
-            self._gangs.add(job.number)
-        return True
-
-
 class LendingPolicy(TermActor):
     """Protects tasks within their team's quota; borrowed capacity goes to teams within theirs."""
 
@@ -160,9 +132,12 @@
 
     def make_budget(self, spec: wire.Spec) -> PreemptionBudget:
         """Returns a budget of what the other teams use beyond their quotas."""
-        return QuotaBudget(
-            spec.team, self._quota_accounting.make_reclaim_budget(), self._open_reclaims
-        )
+
+        def is_unprotected(placed: Placement) -> bool:
+            is_own_team = placed.job.spec.team == spec.team
+            return is_own_team or self._open_reclaims.will_stop(placed)
+
+        return QuotaBudget(self._quota_accounting.make_reclaim_budget(), is_unprotected)
 
     def get_overdue_after_s(self, job: Job) -> float:
         """Returns `keep_patience`, or less for a job within its team's quota."""
--- a/flaxtally/leader/scheduling/preemption_parts.py
+++ b/flaxtally/leader/scheduling/preemption_parts.py
@@ -59,7 +59,7 @@
 
     cost = PreemptionCost(gang_scheduler, open_reclaims)
     policies = PreemptionPolicies(
-        RankPolicy(term, jobs, cost),
+        RankPolicy(term, jobs, cost, commands),
         LendingPolicy(term, jobs, quota_accounting, admission, open_reclaims, reclaimed_capacity),
         quota_accounting,
     )
--- a/flaxtally/leader/scheduling/preemption_policy.py
+++ b/flaxtally/leader/scheduling/preemption_policy.py
@@ -9,14 +9,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from ...lending.entitlement import ReclaimBudget
 from ...protocol import wire
 from ..term import Term, TermActor
+from .quota_budget import QuotaBudget
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable
 
     from ...ledger.job import Job
     from ...ledger.placement import Placement
+    from ..commands import CommandSender
     from ..jobs import JobRegistry
     from ..reclaim.quota_accounting import QuotaAccounting
     from .precedence import Precedence
@@ -96,14 +99,6 @@
         """Whether the job may preempt for capacity that is reserved for GPU tasks."""
 
 
-class UnlimitedBudget:
-    """Allows any task, since ranks alone decide."""
-
-    def try_take(self, placed: Placement) -> bool:
-        """Returns True."""
-        return True
-
-
 class RankPolicy(TermActor):
     """Preempts for jobs that precede others, without lending: by rank, or by a team's quota.
 
@@ -111,12 +106,17 @@
     quota, if little work is lost. A job over its team's quota preempts no task within another's.
     """
 
-    def __init__(self, term: Term, jobs: JobRegistry, cost: PreemptionCost) -> None:
-        """The queue of `jobs` knows the jobs over their team's quota."""
+    def __init__(
+        self, term: Term, jobs: JobRegistry, cost: PreemptionCost, commands: CommandSender
+    ) -> None:
+        """The queue of `jobs` knows the jobs over their team's quota.
+
+        `commands` knows the tasks that were commanded to stop.
+        """
         super().__init__(term)
         self._jobs = jobs
         self._cost = cost
-        self._budget = UnlimitedBudget()
+        self._commands = commands
 
     def begin_pass(self) -> None:
         """Does nothing, since the policy keeps no state."""
@@ -178,8 +178,18 @@
         return False
 
     def make_budget(self, spec: wire.Spec) -> PreemptionBudget:
-        """Returns an unlimited budget, since no quota protects tasks."""
-        return self._budget
+        """Returns a budget of what other teams use beyond their quotas.
+
+        A lower rank may be stopped in any case.
+        """
+        rank = wire.RANKS[spec.rank]
+
+        def is_unprotected(placed: Placement) -> bool:
+            is_lower_rank = wire.RANKS[placed.job.spec.rank] > rank
+            return is_lower_rank or placed.stopping_at is not None
+
+        usage_not_stopping = self._commands.stopping_tasks.compute_usage_not_stopping
+        return QuotaBudget(ReclaimBudget(self.term.get_quota, usage_not_stopping), is_unprotected)
 
     def get_overdue_after_s(self, job: Job) -> float:
         """Returns `keep_patience`."""
--- a/tests/test_preemption_progress.py
+++ b/tests/test_preemption_progress.py
@@ -214,6 +214,21 @@
     assert count_starts(cluster, "j-000001") == 4
 
 
+def test_only_what_a_team_uses_beyond_its_guarantee_is_stopped_for_another_guarantee() -> None:
+    # A job counted as beyond its team's guarantee because of pending work of the team. Its tasks
+    # were stopped for another team's guarantee although their team used less than its own.
+    others = Team("others", 16.0, 64.0, 0.0, 0.0)
+    cluster = start_scarce_cluster(other_teams=(others,))
+    cluster.submit(array("j-000001", 2, team="others", rank="standard", cores=7.0), run_time=30.0)
+    assert cluster.run_until(lambda: cluster.count("j-000001") == 2, 60), cluster.trace
+    # It needs two GPUs, which the cloud does not have.
+    cluster.submit(spec("j-000002", team="others", cores=6.0, gpus=2.0, zone="a", spread=False))
+    cluster.submit(array("j-000003", rank="standard", cores=16.0), run_time=5.0)
+    assert cluster.run_until(lambda: is_done(cluster, "j-000001"), 40), cluster.trace[-20:]
+    assert count_starts(cluster, "j-000001") == 2
+    assert cluster.run_until(lambda: is_done(cluster, "j-000003"), 15), cluster.trace[-20:]
+
+
 def test_quota_goes_to_the_highest_ranks_of_a_team_first() -> None:
     # Jobs were within the guarantee in the order of their acceptance: an urgent job of the team
     # would then come after older, less important work of the same team, or stop it and be stopped
