Preemption, read again: one way to the precedence, one list of stopped names, one setup of two tests

Change: a pass asks the queue for a job's precedence itself, as it has the queue; the way through the scheduler is gone. The names of newly stopped tasks for the log are made in one place. Two tests share their setup; their assertions stay. A doc comment that said that only ranks decide without lending is corrected. Behaviour is the same.

--- a/flaxtally/leader/scheduling/preemption.py
+++ b/flaxtally/leader/scheduling/preemption.py
@@ -13,7 +13,7 @@
 from .reservations import Purpose, Reservations, TaskKey
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Hashable, Sequence
+    from collections.abc import Collection, Hashable, Iterable, Sequence
 
     from ...gangs.gang_preemption import MachineSlots
     from ...ledger.job import Job
@@ -158,7 +158,7 @@
 
         Tasks that are stopping already are left out.
         """
-        stopped = [placed.name for placed in plan.victims if placed.stopping_at is None]
+        stopped = _join_names_to_stop(plan.victims)
         if not stopped:
             return
         rank = wire.RANKS[job.spec.rank]
@@ -169,7 +169,7 @@
             job.spec.ref,
             task[1],
             plan.machine.name,
-            ",".join(stopped),
+            stopped,
             "rank" if is_by_rank else "guarantee",
             plan.cost,
         )
@@ -224,12 +224,7 @@
         return True
 
     def _execute_gang_plan(self, job: Job, choice: list[MachineSlots]) -> None:
-        stopped = [
-            placed.name
-            for slots in choice
-            for placed in slots.victims
-            if placed.stopping_at is None
-        ]
+        stopped = _join_names_to_stop(placed for slots in choice for placed in slots.victims)
         tasks = iter(range(job.spec.tasks))
         for slots in choice:
             for task in itertools.islice(tasks, slots.task_count):
@@ -240,7 +235,7 @@
             self.term.number,
             job.spec.ref,
             len(choice),
-            ",".join(stopped),
+            stopped,
         )
 
     # Execution
@@ -268,6 +263,11 @@
                 self._commands.stop_task(placed, placed.job.spec.checkpoint_save_s)
 
 
+def _join_names_to_stop(victims: Iterable[Placement]) -> str:
+    """Returns the names of the victims that are not stopping already, for a log line."""
+    return ",".join(placed.name for placed in victims if placed.stopping_at is None)
+
+
 def _make_plan(slots: MachineSlots) -> PreemptionPlan:
     return PreemptionPlan(
         slots.machine, list(slots.victims), slots.preemption_cost, slots.task_count
--- a/flaxtally/leader/scheduling/scheduler.py
+++ b/flaxtally/leader/scheduling/scheduler.py
@@ -26,7 +26,6 @@
     from ..gang_scheduling.gang_scheduler import GangScheduler
     from ..reconciliation.reconciler import Reconciler
     from .pending_queue import PendingJob
-    from .precedence import Precedence
     from .preemption_parts import PreemptionParts
     from .reservations import TaskKey
     from .scheduling_pass import MachineFilter
@@ -206,10 +205,6 @@
         """Returns how much of its team's limit the job must leave to other jobs of its team."""
         return self._reservations.compute_reserved_for_team(job)
 
-    def get_precedence(self, job: Job) -> Precedence:
-        """Returns the job's precedence over others."""
-        return self.jobs.queue.get_precedence(job)
-
     # Placements
 
     def place_gang(self, job: Job, index: MachineIndex, *, is_overdue: bool) -> int:
--- a/flaxtally/leader/scheduling/scheduling_pass.py
+++ b/flaxtally/leader/scheduling/scheduling_pass.py
@@ -19,7 +19,6 @@
     from ..jobs import JobRegistry
     from ..term import Term
     from .pending_queue import PendingJob
-    from .precedence import Precedence
     from .preemption import Preemption
 
 MAX_PLACEMENTS_PER_PASS = 400
@@ -55,9 +54,6 @@
     def compute_reserved(self, job: Job) -> Amounts:
         """Returns how much of its team's limit the job must leave to other jobs of its team."""
 
-    def get_precedence(self, job: Job) -> Precedence:
-        """Returns the job's precedence over others."""
-
     def place_gang(self, job: Job, index: MachineIndex, *, is_overdue: bool) -> int:
         """Places all due tasks of a gang, or none; returns how many were placed.
 
@@ -196,7 +192,7 @@
             spec.zone,
             spec.spot,
             spec.job_kind,
-            self._scheduler.get_precedence(job),
+            self._jobs.queue.get_precedence(job),
             bool(spec.gpus),
             excluded_zones,
         )
--- a/flaxtally/leader/term_duties.py
+++ b/flaxtally/leader/term_duties.py
@@ -38,7 +38,7 @@
         """Connects the duties; none of them acts before the term becomes active.
 
         `lending`: the feature by which loans between teams are reclaimed; None if it is disabled:
-        then only ranks decide who is preempted.
+        then jobs preempt those that they precede, and nothing is recorded.
         """
         self.term = term
         self.commands = CommandSender(term, transport, self._handle_heartbeat)
--- a/tests/test_preemption_progress.py
+++ b/tests/test_preemption_progress.py
@@ -151,18 +151,24 @@
     assert count_starts(cluster, "j-000001") <= 4
 
 
-def test_room_that_comes_free_in_steps_is_kept_until_all_of_it_is_free() -> None:
-    # The tasks that are stopped save for different times. The room of the first was taken again
-    # before the last had left, and the reservation ended while tasks were still saving.
+def start_with_victims_that_save(*save_times_s: float) -> SimulatedCluster:
+    """Starts a cluster whose machine in zone a is used by arrays that save for these times."""
     cluster = start_scarce_cluster()
-    for ref, save_s in (("j-000001", 1.0), ("j-000002", 9.0)):
+    for number, save_s in enumerate(save_times_s, 1):
         saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": save_s}
-        cluster.submit(
-            array(ref, team="guest", rank="critical", cores=7.0, **saving), run_time=30.0
-        )
-    assert cluster.run_until(lambda: len(cluster.running) == 2, 60), cluster.trace
+        urgent = array(f"j-{number:06d}", team="guest", rank="critical", cores=7.0, **saving)
+        cluster.submit(urgent, run_time=30.0)
+    count = len(save_times_s)
+    assert cluster.run_until(lambda: len(cluster.running) == count, 60), cluster.trace
     submit_ordinary_traffic(cluster, 120.0)
     cluster.run(6)
+    return cluster
+
+
+def test_room_that_comes_free_in_steps_is_kept_until_all_of_it_is_free() -> None:
+    # The tasks that are stopped save for different times. The room of the first was taken again
+    # before the last had left, and the reservation ended while tasks were still saving.
+    cluster = start_with_victims_that_save(1.0, 9.0)
     cluster.submit(array("j-000003", cores=16.0), run_time=5.0)
     # One core is free all the time, but nothing fits beside the 16 cores that are reserved.
     cluster.submit(array("j-000004", rank="standard", cores=1.0), run_time=3.0)
@@ -298,15 +304,7 @@
 
 def test_change_of_leader_between_a_stop_and_its_start() -> None:
     # The new leader knows nothing of the reservation: the stopped task must not take the room.
-    cluster = start_scarce_cluster()
-    for ref, save_s in (("j-000001", 1.0), ("j-000002", 8.0)):
-        saving = {"checkpoint_interval_s": 5.0, "checkpoint_save_s": save_s}
-        cluster.submit(
-            array(ref, team="guest", rank="critical", cores=7.0, **saving), run_time=30.0
-        )
-    assert cluster.run_until(lambda: len(cluster.running) == 2, 60), cluster.trace
-    submit_ordinary_traffic(cluster, 120.0)
-    cluster.run(6)
+    cluster = start_with_victims_that_save(1.0, 8.0)
     cluster.submit(array("j-000003", cores=16.0), run_time=5.0)
     assert cluster.run_until(lambda: len(cluster.running) == 1, 8), cluster.trace[-40:]
     change_leader(cluster)
