--- a/flaxtally/api/heartbeat_endpoint.py
+++ b/flaxtally/api/heartbeat_endpoint.py
@@ -113,7 +113,7 @@
             return _Reply(OK, wire.HeartbeatReply(token))
         if token > election.term:
             # The worker has commands of a newer term than this controller knows: this controller
-            # is not entitled to act.
+            # is not entitled to act. Or it is taking that term itself, and awaits the outcome.
             self._leader.handle_higher_token(heartbeat.machine, token)
             return _Reply(MISDIRECTED, wire.Redirect(None))
         if election.term == 0 or election.seconds_since_leader_contact > self._unattended_s:
@@ -125,7 +125,7 @@
 
     def handle_forwarded_heartbeat(self, sender: str, message: ForwardedHeartbeat) -> None:
         """Handles a heartbeat that another controller accepted and forwarded."""
-        if not self._is_leading_term(message.term):
+        if not self._election.leads_term(message.term):
             return
         try:
             heartbeat = decode_heartbeat(message.heartbeat)
@@ -137,8 +137,5 @@
 
     def handle_liveness(self, sender: str, message: MachinesAlive) -> None:
         """Handles a list of machines that reported recently elsewhere; it has no other data."""
-        if self._is_leading_term(message.term):
+        if self._election.leads_term(message.term):
             self._leader.handle_liveness(sender, message.machines)
-
-    def _is_leading_term(self, term: int) -> bool:
-        return self._election.is_leader and term == self._election.term
--- a/flaxtally/cluster/election_state.py
+++ b/flaxtally/cluster/election_state.py
@@ -63,6 +63,10 @@
         """The leader of `term`; None if it is not known, or known to have been replaced."""
         self.is_ready = False
         """Whether this controller leads and serves requests."""
+        self.first_term = 0
+        """The term in which this controller began to lead; 0 while it does not lead."""
+        self.pending_term = 0
+        """The further term that the leader is taking; 0 if it takes none."""
         self.last_led_term = 0
         """The last term that this incarnation has led. It never leads a term again after stepping
         down from it: launches of that term may still be in transit under the same fencing token, so
@@ -86,7 +90,7 @@
         self.role = Role.FOLLOWER
         self.term = term
         self.leader = leader
-        self.is_ready = False
+        self._end_leadership()
 
     def become_candidate(self, reason: TransitionReason) -> None:
         """Changes a follower to a candidate for the next term; other roles stay."""
@@ -106,9 +110,24 @@
         self.role = Role.LEADER
         self.term = term
         self.leader = self._node
-        self.is_ready = False
+        self._end_leadership()
+        self.first_term = term
         self.last_led_term = term
 
+    def begin_raise(self) -> int:
+        """Returns the further term that the leader is to take."""
+        self.pending_term = self.term + 1
+        return self.pending_term
+
+    def complete_raise(self) -> None:
+        """Records that the leader has taken the further term, and leads on."""
+        self.term = self.last_led_term = self.pending_term
+        self.pending_term = 0
+
+    def leads_term(self, term: int) -> bool:
+        """Whether this controller leads in that term, or is taking it while it leads."""
+        return self.is_leader and self.first_term <= term <= max(self.term, self.pending_term)
+
     def mark_ready(self) -> None:
         """Records that the leader serves requests from now on."""
         self.is_ready = True
@@ -118,7 +137,12 @@
         self._log("event=leader_stepped_down", self.term, reason)
         self.role = Role.FOLLOWER
         self.leader = None
+        self._end_leadership()
+
+    def _end_leadership(self) -> None:
         self.is_ready = False
+        self.first_term = 0
+        self.pending_term = 0
 
     def _log(self, event: str, term: int, reason: TransitionReason) -> None:
         log.info("%s node=%s term=%d reason=%s", event, self._node, term, reason.value)
--- a/flaxtally/cluster/format_negotiation.py
+++ b/flaxtally/cluster/format_negotiation.py
@@ -97,6 +97,10 @@
         self._key_version = None
         self._store_known_formats()
 
+    def change_leader_key_version(self, leader_key_version: int) -> None:
+        """Guards further writes by that version: the leader has taken a further term."""
+        self._leader_key_version = leader_key_version
+
     def end_term(self) -> None:
         """Stops storing the formats: this controller no longer leads."""
         self._leader_key_version = None
--- a/flaxtally/cluster/leader_election.py
+++ b/flaxtally/cluster/leader_election.py
@@ -258,9 +258,12 @@
         """Handles a peer's heartbeat: records its content, follows a leader of a higher term."""
         term, leader = heartbeat.term, heartbeat.leader
         self._observation.on_peer_heartbeat(sender, heartbeat)
+        if leader == self._node and self._state.leads_term(term):
+            return  # the peer has read the leader key before this controller knows its new term
         if term > self.term and leader is not None:
             self._follow(term, leader, TransitionReason.NEWER_TERM_HEARD)
-        if sender == leader == self.leader and term == self.term and not self.is_leader:
+        # A leader that is taking a further term may learn of that later than its followers.
+        if sender == leader == self.leader and term <= self.term and not self.is_leader:
             self._observation.on_leader_heartbeat(self.runtime.now(), heartbeat)
             self.live_members = heartbeat.live_members
 
@@ -302,6 +305,24 @@
         """Records that this controller leads and serves requests from now on."""
         self._state.mark_ready()
 
+    def leads_term(self, term: int) -> bool:
+        """Whether this controller leads in that term, or is taking it while it leads."""
+        return self._state.leads_term(term)
+
+    def begin_term_raise(self) -> LeaderRecord:
+        """Returns the value of the leader key with which the leader takes a further term.
+
+        The ledger writes it; until `complete_term_raise` is called, it may or may not be stored.
+        """
+        return LeaderRecord(self._state.begin_raise(), self._node, self._incarnation_id)
+
+    def complete_term_raise(self, key_version: int) -> None:
+        """Leads on in the further term, whose leader key has that version."""
+        self._state.complete_raise()
+        self._lease.begin_term(self.term, key_version)
+        self._lease.renew()
+        self._send_heartbeat()
+
     def step_down(self, reason: TransitionReason = TransitionReason.GUARDED_WRITE_FAILED) -> None:
         """Stops leading, and reads the leader key to find the new leader."""
         if self.is_leader:
@@ -345,6 +366,8 @@
 
     def _confirm_leadership(self, record: LeaderRecord) -> None:
         is_own = record.incarnation_id == self._incarnation_id
+        if is_own and self._state.leads_term(record.term):
+            return
         if record.term > self.term or (record.term == self.term and not is_own):
             self.step_down(TransitionReason.NEWER_TERM_STORED)
 
--- a/flaxtally/emulator/hollow_worker.py
+++ b/flaxtally/emulator/hollow_worker.py
@@ -23,6 +23,10 @@
 """PROTOCOL: the time of an image fetch varies by up to a third in both directions."""
 
 
+MIN_COPY_DELAY_S, MAX_COPY_DELAY_LEASES = 0.1, 2
+"""When a copy of a command batch arrives: from so many seconds to so many leases late."""
+
+
 class HollowWorker(Worker):
     """Reports changes at once, draws random fetch times, and can be restarted or cut off."""
 
@@ -54,6 +58,9 @@
             on_task_event,
             rng,
         )
+        self._copy_share = plan.command_copy_share
+        self._max_copy_delay_s = MAX_COPY_DELAY_LEASES * plan.lease_s
+        self.on_batch_executed = self._copy_at_random
         for name, node_address in plan.node_addresses.items():
             self._clients[name] = MeasuredClient(loop, node_address, on_report_answered)
 
@@ -67,6 +74,12 @@
         self._expire_lease()
         self.report_soon()
 
+    def _copy_at_random(self, batch: wire.CommandBatch) -> None:
+        """Lets a copy of some batches arrive once more, as late messages do."""
+        if batch.commands and self._rng.random() < self._copy_share:
+            delay_s = self._rng.uniform(MIN_COPY_DELAY_S, self._max_copy_delay_s)
+            self._runtime.after(delay_s, self._receive_after_delay, batch)
+
     def disconnect(self, seconds: float) -> None:
         """Drops all messages to and from the worker for that time."""
         self.mute = self.deaf = True
--- a/flaxtally/emulator/plan.py
+++ b/flaxtally/emulator/plan.py
@@ -88,6 +88,9 @@
     """Fraction of service replicas among the running tasks; the others are batch tasks."""
     array_tasks: int = 100
     """Mean number of tasks of a batch job."""
+    command_copy_share: float = 0.01
+    """Fraction of executed command batches of which a copy arrives again, at most two leases late.
+    """
     policy: str | None = None
     """Path of the controllers' policy file; None: no policy file."""
     break_rule: bool = False
--- a/flaxtally/emulator/rules.py
+++ b/flaxtally/emulator/rules.py
@@ -72,6 +72,8 @@
         """The machine and attempt of each task that is on a machine, also while the machine hangs
         or can't be reached.
         """
+        self._newest_attempts: dict[str, int] = {}
+        """The highest attempt of each task that was started."""
         self.usage_by_team: dict[str, list[float]] = {}
         """Cores and GPUs that each team uses."""
         self.broken: list[str] = []
@@ -99,6 +101,12 @@
                 f"{task} on {self.placements[task][0].machine} and {machine.machine}",
                 now,
             )
+        newest_attempt = self._newest_attempts.get(task, 0)
+        if attempt < newest_attempt:
+            self.record_violation(
+                "started_outdated", f"{task} attempt {attempt} after attempt {newest_attempt}", now
+            )
+        self._newest_attempts[task] = max(attempt, newest_attempt)
         if job.final_stage == wire.ABORTED:
             self.record_violation(
                 "started_cancelled", f"{task}, its user was told at {job.final_stage_at:.2f}", now
--- a/flaxtally/fakes/worker.py
+++ b/flaxtally/fakes/worker.py
@@ -72,6 +72,8 @@
 
         Such a batch gets no reply, and is executed once if its token and incarnation still match.
         """
+        self.on_batch_executed: Callable[[wire.CommandBatch], None] = lambda _: None
+        """Called with each batch of commands that was executed, before it is answered."""
         self.on_heartbeat_sent: Callable[[str, wire.Heartbeat], None] = lambda *_: None
         """Called with the receiving controller's name and the heartbeat, for each one sent."""
         self.slowness = 1.0
@@ -206,20 +208,28 @@
         batch = msgspec.msgpack.decode(request.body, type=wire.CommandBatch)
         delay_s = self.get_command_delay_s(batch)
         if delay_s:
-            self._runtime.after(delay_s, self._execute_late, batch)
+            self._runtime.after(delay_s, self._receive_after_delay, batch)
             return
         is_executed = self._execute_batch(batch)
+        if is_executed:
+            self.on_batch_executed(batch)
         request.reply(200 if is_executed else 409, self.report())
 
-    def _execute_late(self, batch: wire.CommandBatch) -> None:
-        """Executes a batch that was held up on its way; its sender no longer waits for a reply."""
-        if self._is_shut_down:
-            return
+    def receive_late(self, batch: wire.CommandBatch) -> bool:
+        """Handles a batch that was held up, or a copy of one; nobody waits for a reply.
+
+        Returns whether the batch was executed. A hung machine does so once it continues.
+        """
+        if self._is_shut_down or self.deaf:
+            return False
         if self.hung:
-            self._runtime.after(0.5, self._execute_late, batch)
-            return
+            self._runtime.after(0.5, self._receive_after_delay, batch)
+            return False
         self._expire_lease_if_due()
-        self._execute_batch(batch)
+        return self._execute_batch(batch)
+
+    def _receive_after_delay(self, batch: wire.CommandBatch) -> None:
+        self.receive_late(batch)
 
     def _execute_batch(self, batch: wire.CommandBatch) -> bool:
         """Executes a batch, unless its token or its incarnation is outdated."""
--- a/flaxtally/leader/authority.py
+++ b/flaxtally/leader/authority.py
@@ -54,6 +54,10 @@
         """How often the process was paused, pauses included that are too short to suspend it."""
         self._was_denied = False
 
+    def change_term(self, term: int) -> None:
+        """Records that the leader has taken a further term and leads on."""
+        self._term = term
+
     def on_short_pause(self) -> None:
         """Records a pause of the process: confirmations under way are asked for again."""
         self._short_pause_count += 1
--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import msgspec
@@ -14,14 +15,14 @@
 from .term import Term, TermActor
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ..clients.workers import OnReply
     from ..ledger.placement import Placement
     from ..planning.fleet import Machine
 
 log = logging.getLogger(__name__)
 
+EXECUTED, REFUSED = 200, 409
+"""The statuses of a worker's reply to a batch of commands."""
 MAX_BATCH_COMMANDS = 200
 """The most commands sent to a worker in one request."""
 EMPTY_BATCH_INTERVAL_RATIO = 1.5
@@ -59,12 +60,17 @@
         raise NotImplementedError
 
 
+OnSent = Callable[[int], None]
+"""Called with the fencing token under which a command is sent, each time that it is."""
+
+
 class _QueuedCommand(NamedTuple):
     """A command to be sent at the end of this iteration of the event loop."""
 
     command: Command
     launched: Placement | None = None
     """The placement that the command launches; None if it is no launch command."""
+    on_sent: OnSent | None = None
 
     @property
     def is_obsolete(self) -> bool:
@@ -96,21 +102,30 @@
         self.stopping_tasks = StoppingTasks(term)
         self._outbox: dict[str, list[_QueuedCommand]] = {}
         """The commands to be sent, by machine."""
+        self._refused: dict[str, list[_QueuedCommand]] = {}
+        """Commands that machines refused by a token that the leader is taking, by machine."""
         self._confirmed_stops = ConfirmedStops(term, self.stopping_tasks, self._enqueue_stop)
 
     # Commands
 
     def enqueue(
-        self, machine: Machine, command: Command, launched: Placement | None = None
+        self,
+        machine: Machine,
+        command: Command,
+        launched: Placement | None = None,
+        on_sent: OnSent | None = None,
     ) -> None:
         """Queues a command, to be sent with the others of this iteration of the event loop.
 
         `launched`: the placement that the command launches, if it is a launch command.
         """
+        self._enqueue(machine, [_QueuedCommand(command, launched, on_sent)])
+
+    def _enqueue(self, machine: Machine, queued: list[_QueuedCommand]) -> None:
         self._schedule_sending()
         # The machine's next heartbeat shows whether the command was executed.
         machine.converged_tasks = None
-        self._outbox.setdefault(machine.name, []).append(_QueuedCommand(command, launched))
+        self._outbox.setdefault(machine.name, []).extend(queued)
 
     def _schedule_sending(self) -> None:
         if not self._outbox and not self._confirmed_stops.is_waiting:
@@ -169,7 +184,7 @@
         """
         if machine.address:
             machine.incarnation = max(machine.incarnation, 1)
-            self._send_batch(machine, [], [])
+            self._send_batch(machine, [])
 
     # Sending
 
@@ -196,28 +211,27 @@
 
     def _send_in_batches(self, machine: Machine, queued: list[_QueuedCommand]) -> None:
         for start in range(0, len(queued), MAX_BATCH_COMMANDS):
-            batch = queued[start : start + MAX_BATCH_COMMANDS]
-            commands = [queued_command.command for queued_command in batch]
-            launched = [
-                queued_command.launched
-                for queued_command in batch
-                if queued_command.launched is not None
-            ]
-            self._send_batch(machine, commands, launched)
-
-    def _send_batch(
-        self, machine: Machine, commands: list[Command], launched: list[Placement]
-    ) -> None:
+            self._send_batch(machine, queued[start : start + MAX_BATCH_COMMANDS])
+
+    def _send_batch(self, machine: Machine, queued: list[_QueuedCommand]) -> None:
         controller = machine.shard_owner
         pause_count = self.term.pause_count
+        batch = CommandBatch(
+            self.term.number, machine.incarnation, [each.command for each in queued]
+        )
+        launched = [each.launched for each in queued if each.launched is not None]
         for placement in launched:
-            # Set when the command is sent: no incarnation of the worker after this one can execute
-            # a copy of it.
-            placement.launch_incarnation = max(placement.launch_incarnation, machine.incarnation)
+            # Set when the command is sent: no later incarnation of the worker, and none that has
+            # seen a higher token, can execute a copy of it.
+            placement.launch_incarnation = max(placement.launch_incarnation, batch.incarnation)
+            placement.launch_token = batch.fencing_token
             placement.launches_in_flight += 1
+        for each in queued:
+            if each.on_sent is not None:
+                each.on_sent(batch.fencing_token)
 
         def on_reply(status: int, body: bytes) -> None:
-            heartbeat = _decode_status(body) if status in (200, 409) else None
+            heartbeat = _decode_status(body) if status in (EXECUTED, REFUSED) else None
             if heartbeat is not None and heartbeat.machine == machine.name:
                 for placement in launched:
                     placement.launches_in_flight -= 1
@@ -227,11 +241,40 @@
             elif pause_count == self.term.pause_count:
                 machine.failed_commands += 1
             if heartbeat is not None:
+                if status == REFUSED:
+                    self._send_again_if_token_rose(machine, queued, batch, heartbeat)
                 self._handle_status(controller, heartbeat)
 
-        batch = CommandBatch(self.term.number, machine.incarnation, commands)
         self.transport.send(controller, machine.name, machine.address, batch, on_reply)
 
+    # Commands refused because this leader has taken a further term
+
+    def _send_again_if_token_rose(
+        self,
+        machine: Machine,
+        queued: list[_QueuedCommand],
+        batch: CommandBatch,
+        heartbeat: Heartbeat,
+    ) -> None:
+        """Sends commands again that a machine refused only by this leader's own higher token."""
+        token = heartbeat.fencing_token
+        is_own = batch.fencing_token < token and self.term.is_own_token(token)
+        if not queued or not self.term.active or not is_own:
+            return
+        if token <= self.term.number:
+            self._enqueue(machine, queued)
+        else:
+            self._refused.setdefault(machine.name, []).extend(queued)
+
+    def on_token_raised(self) -> None:
+        """Sends the commands again that machines refused by the token, before it was known here."""
+        refused = self._refused
+        self._refused = {}
+        for name, queued in refused.items():
+            machine = self.fleet.machines.get(name)
+            if machine is not None:
+                self._enqueue(machine, queued)
+
     # Replies
 
     def handle_reply(self, controller: str | None, body: bytes) -> None:
@@ -244,7 +287,7 @@
         """Processes the status in a reply, unless a later leader commands the worker."""
         if not self.term.active:
             return
-        if heartbeat.fencing_token > self.term.number:
+        if self.term.is_later_token(heartbeat.fencing_token):
             self.term.on_higher_token(heartbeat.machine, heartbeat.fencing_token)
             return
         self._on_heartbeat(controller or "", heartbeat)
--- a/flaxtally/leader/gang_scheduling/gang_scheduler.py
+++ b/flaxtally/leader/gang_scheduling/gang_scheduler.py
@@ -25,6 +25,7 @@
     from ...planning.machine_index import MachineIndex
     from ..commands import CommandSender
     from ..jobs import JobRegistry
+    from ..launch_fence import LaunchFence
 
 log = logging.getLogger(__name__)
 
@@ -42,9 +43,12 @@
         term: Term,
         jobs: JobRegistry,
         commands: CommandSender,
+        launch_fence: LaunchFence,
         finish_attempt: Callable[[Placement, EndReason], None],
     ) -> None:
-        """`finish_attempt`: called with a placement that was never launched, and the reason.
+        """`launch_fence`: fences off commands about tasks that are to be replaced.
+
+        `finish_attempt`: called with a placement that was never launched, and the reason.
 
         It is provided by the reconciler, which decides when an attempt is proven to be finished.
         """
@@ -53,7 +57,7 @@
         self._commands = commands
         self._finish_attempt = finish_attempt
         self._attempts = GangAttempts(term)
-        self.orphans = GangOrphans(term)
+        self.orphans = GangOrphans(term, launch_fence)
         self._machine_chooser = GangMachineChooser(term, jobs, self._attempts, self.orphans)
         self._stops = GangStops(term, commands, self._attempts)
         self._no_capacity_until: dict[int, float] = {}
@@ -181,8 +185,15 @@
 
     def on_orphans_reported(self, machine: str, tasks: Collection[wire.TaskStatus]) -> None:
         """Handles the tasks that a machine reports although the log does not place them there."""
-        for job in self.orphans.update(machine, tasks):
-            # The machine may get a replacement of a lost task now.
+        self._on_machines_usable_again(self.orphans.update(machine, tasks))
+
+    def on_token_raised(self) -> None:
+        """Handles that machines will refuse the commands that were sent to them before."""
+        self._on_machines_usable_again(self.orphans.on_token_raised())
+
+    def _on_machines_usable_again(self, jobs: set[Job]) -> None:
+        """Searches again for machines for gangs of which some may take a lost task now."""
+        for job in jobs:
             self._no_capacity_until.pop(job.number, None)
             self.term.request_pass()
 
--- a/flaxtally/leader/leader.py
+++ b/flaxtally/leader/leader.py
@@ -68,7 +68,7 @@
     def _begin_duties(self, number: int, machine_types: dict[str, wire.MachineType]) -> None:
         """Creates a term that is not active yet, and its duties."""
         term = Term(number, self._context, machine_types)
-        self.duties = TermDuties(term, self._transport, self._lending)
+        self.duties = TermDuties(term, self._transport, self._raise_token, self._lending)
         self._suspension = Suspension(term, self._on_leadership_confirmed)
         term.on_higher_token = self._suspension.handle_higher_token
 
@@ -117,6 +117,21 @@
         self._context.limits.begin_term(term.number)
         take_over(self.duties, self._transport)
 
+    def _raise_token(self) -> None:
+        """Takes a further term and leads on in it: its number is the new fencing token."""
+        record = self._election.begin_term_raise()
+        self.term.begin_raise(record.term)
+        self._context.ledger.change_leader_key(record.to_value(), self._on_token_raised)
+
+    def _on_token_raised(self, leader_key_version: int) -> None:
+        if not self._election.leads_term(self.term.pending_number):
+            return  # this controller has stepped down, and the term ends
+        self._formats.change_leader_key_version(leader_key_version)
+        self.term.complete_raise()
+        # The followers are told before commands under the new token reach them.
+        self._election.complete_term_raise(leader_key_version)
+        self.duties.on_token_raised()
+
     # Signs that another controller leads
 
     def on_pause(self, pause_s: float) -> None:
@@ -130,8 +145,8 @@
         self.term.authority.on_short_pause()
 
     def handle_higher_token(self, machine: str, token: int) -> None:
-        """Suspends the term: a machine reports a fencing token above the term's."""
-        if self.term.active:
+        """Suspends the term if a machine reports a fencing token that only a later leader sent."""
+        if self.term.active and self.term.is_later_token(token):
             self._suspension.handle_higher_token(machine, token)
 
     def _confirm_authority(
--- a/flaxtally/leader/reconciliation/heartbeat_handler.py
+++ b/flaxtally/leader/reconciliation/heartbeat_handler.py
@@ -19,8 +19,9 @@
 class HeartbeatHandler(TermActor):
     """Accepts heartbeats in the order in which their machines made them.
 
-    Only a heartbeat made under the current fencing token proves what runs on a machine. One made
-    under an older token shows that the machine is alive; the reply to it carries the current token.
+    Only a heartbeat made under one of the term's fencing tokens proves what runs on a machine. One
+    made under an older token shows that the machine is alive; the reply to it carries the current
+    token.
     """
 
     def __init__(
@@ -37,7 +38,7 @@
         term, fleet = self.term, self.fleet
         if not term.active or heartbeat.machine in fleet.removed_machines:
             return
-        if heartbeat.fencing_token > term.number:
+        if term.is_later_token(heartbeat.fencing_token):
             term.on_higher_token(heartbeat.machine, heartbeat.fencing_token)
         machine = fleet.machines.get(heartbeat.machine)
         if machine is None:
@@ -47,7 +48,7 @@
             machine.spot = heartbeat.spot
         if not machine.is_newer(heartbeat.incarnation, heartbeat.sequence_number):
             return
-        if heartbeat.fencing_token == term.number:
+        if term.is_own_token(heartbeat.fencing_token):
             self._record_contact(machine, controller, heartbeat)
             self._accept_status(machine, heartbeat)
         elif heartbeat.recency > machine.newest_foreign_heartbeat:
@@ -85,8 +86,8 @@
             self._on_booted(machine)
         machine.address = heartbeat.address
         machine.shard_owner = controller
-        # A reconciled machine reports under the current token: one under an older token is late.
-        if not machine.is_reconciled or heartbeat.fencing_token >= self.term.number:
+        # A reconciled machine reports under a token of the term: one under an older token is late.
+        if not machine.is_reconciled or heartbeat.fencing_token >= self.term.first_number:
             self._record_liveness(machine)
         machine.failed_probes = 0
 
@@ -114,11 +115,12 @@
         self.term.request_pass()
 
     def _accept_status(self, machine: Machine, heartbeat: wire.Heartbeat) -> None:
-        """Takes over the status of a machine that reports under the current token."""
+        """Takes over the status of a machine that reports under one of the term's tokens."""
         if heartbeat.incarnation > machine.incarnation:
             machine.forget_images()
         machine.incarnation = heartbeat.incarnation
         machine.sequence_number = heartbeat.sequence_number
+        machine.fencing_token = heartbeat.fencing_token
         if not machine.is_reconciled:
             machine.is_reconciled = True
             machine.mark_changed()
--- a/flaxtally/leader/reconciliation/orphans.py
+++ b/flaxtally/leader/reconciliation/orphans.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ...protocol import wire
 from ..term import Term, TermActor
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ...ledger.placement import Placement
     from ...planning.fleet import Machine
     from ..commands import CommandSender
     from ..gang_scheduling.gang_orphans import GangOrphans
+    from ..launch_fence import LaunchFence
 
 log = logging.getLogger(__name__)
 
@@ -20,34 +24,57 @@
 class OrphanedTasks(TermActor):
     """Stops orphaned tasks, and has machines forget exited ones once that is safe."""
 
-    def __init__(self, term: Term, commands: CommandSender, gang_orphans: GangOrphans) -> None:
+    def __init__(
+        self,
+        term: Term,
+        commands: CommandSender,
+        gang_orphans: GangOrphans,
+        launch_fence: LaunchFence,
+    ) -> None:
         """Starts without reported exits; `commands` sends stop and forget commands to machines.
 
-        `gang_orphans`: limits the forget commands about the tasks of gangs.
+        `gang_orphans`: limits the forget commands about the tasks of gangs. `launch_fence`: knows
+        whether a forgotten attempt could be started again.
         """
         super().__init__(term)
         self._commands = commands
+        self._launch_fence = launch_fence
         self._gang_orphans = gang_orphans
         self._exits: dict[str, dict[tuple[str, int], Placement]] = {}
         """The placements whose exit was reported, by machine, then by task and attempt."""
+        self._forgets_sent_at: dict[str, dict[tuple[str, int], float]] = {}
+        """When machines were last commanded to forget the exits that they list."""
+        self._repeat_after_s = self.settings.lease_s / 2
 
     def record_exit(self, machine: Machine, placement: Placement) -> None:
         """Records an exit; the machine lists the task until it is commanded to forget it."""
         self._exits.setdefault(machine.name, {})[placement.name, placement.attempt] = placement
+        self._launch_fence.await_exit(machine, placement)
 
     def forget_machine(self, machine: Machine) -> None:
         """Forgets the exits on a machine that was removed."""
         self._exits.pop(machine.name, None)
+        self._forgets_sent_at.pop(machine.name, None)
         self._gang_orphans.forget_machine(machine.name)
 
-    def handle_orphan(self, machine: Machine, task: wire.TaskStatus) -> None:
-        """Stops a task that the log does not place on the machine, or lets it forget the task."""
-        if task.state != wire.EXITED:
-            self._stop_orphan(machine, task)
-        elif self._can_forget(machine, task) and self._gang_orphans.may_send_forget(
-            machine.name, task
-        ):
-            self._forget(machine, task)
+    def handle_orphans(self, machine: Machine, tasks: Iterable[wire.TaskStatus]) -> None:
+        """Stops the tasks that the log does not place on the machine, or lets it forget them."""
+        now = self.runtime.now()
+        sent_before = self._forgets_sent_at.pop(machine.name, {})
+        sent_at_by_task: dict[tuple[str, int], float] = {}
+        for task in tasks:
+            if task.state != wire.EXITED:
+                self._stop_orphan(machine, task)
+                continue
+            sent_at = sent_before.get((task.task, task.attempt))
+            if (sent_at is None or now - sent_at > self._repeat_after_s) and self._forget_if_safe(
+                machine, task
+            ):
+                sent_at = now
+            if sent_at is not None:
+                sent_at_by_task[task.task, task.attempt] = sent_at
+        if sent_at_by_task:
+            self._forgets_sent_at[machine.name] = sent_at_by_task
 
     def _stop_orphan(self, machine: Machine, task: wire.TaskStatus) -> None:
         log.warning(
@@ -59,27 +86,42 @@
         )
         self._commands.enqueue(machine, wire.stop(task.task, task.attempt, 0.0))
 
-    def _forget(self, machine: Machine, task: wire.TaskStatus) -> None:
+    def _forget_if_safe(self, machine: Machine, task: wire.TaskStatus) -> bool:
+        """Has the machine forget an exit once that is committed and its launches are fenced off.
+
+        Returns whether the command was sent.
+        An exit that isn't recorded is one of a task that was launched in an earlier term, or one
+        that was to be forgotten before.
+        """
+        exits = self._exits.get(machine.name, {})
+        placement = exits.get((task.task, task.attempt))
+        if placement is not None and (
+            placement.is_committed or not self._launch_fence.is_fenced(machine, placement)
+        ):
+            return False
+        if not self._gang_orphans.may_send_forget(machine.name, machine.fencing_token, task):
+            return False
+        exits.pop((task.task, task.attempt), None)
+        self._log_forget(machine, task, placement)
+        self._commands.enqueue(
+            machine,
+            wire.forget(task.task, task.attempt),
+            on_sent=partial(self._gang_orphans.record_forget, machine.name, task),
+        )
+        return True
+
+    def _log_forget(
+        self, machine: Machine, task: wire.TaskStatus, placement: Placement | None
+    ) -> None:
         log.debug(
-            "event=forget_sent term=%d task=%s attempt=%d machine=%s cause=%s",
+            "event=forget_sent term=%d task=%s attempt=%d machine=%s cause=%s incarnation=%d "
+            "launch_token=%d launch_incarnation=%d",
             self.term.number,
             task.task,
             task.attempt,
             machine.name,
             task.cause,
+            machine.incarnation,
+            placement.launch_token if placement is not None else 0,
+            placement.launch_incarnation if placement is not None else 0,
         )
-        self._commands.enqueue(machine, wire.forget(task.task, task.attempt))
-
-    def _can_forget(self, machine: Machine, task: wire.TaskStatus) -> bool:
-        """Whether no copy of the launch command can still arrive: it would start the task again.
-
-        If so, the recorded exit is removed.
-        """
-        exits = self._exits.get(machine.name, {})
-        placement = exits.get((task.task, task.attempt))
-        if placement is None:
-            return True
-        if placement.launches_in_flight or placement.is_committed:
-            return False
-        del exits[task.task, task.attempt]
-        return True
--- a/flaxtally/leader/reconciliation/reconciler.py
+++ b/flaxtally/leader/reconciliation/reconciler.py
@@ -17,6 +17,7 @@
     from ..commands import CommandSender
     from ..gang_scheduling.gang_scheduler import GangScheduler
     from ..jobs import JobRegistry
+    from ..launch_fence import LaunchFence
     from .failure_attribution import FailureAttribution
     from .stragglers import Stragglers
 
@@ -41,15 +42,19 @@
         stragglers: Stragglers,
         failure_attribution: FailureAttribution,
         gang_scheduler: GangScheduler,
+        launch_fence: LaunchFence,
     ) -> None:
-        """Creates a reconciler that notifies the other duties when tasks run, finish or fail."""
+        """Creates a reconciler that notifies the other duties when tasks run, finish or fail.
+
+        `launch_fence`: knows when a machine may forget an exited task.
+        """
         super().__init__(term)
         self._jobs = jobs
         self._commands = commands
         self._stragglers = stragglers
         self._failure_attribution = failure_attribution
         self._gang_scheduler = gang_scheduler
-        self._orphans = OrphanedTasks(term, commands, gang_scheduler.orphans)
+        self._orphans = OrphanedTasks(term, commands, gang_scheduler.orphans, launch_fence)
         self.attempt_finisher = AttemptFinisher(
             term, jobs, commands, failure_attribution, gang_scheduler
         )
@@ -70,8 +75,7 @@
             else:
                 self._handle_live_task(machine, placement, task.state)
         self._gang_scheduler.on_orphans_reported(machine.name, reported.values())
-        for orphan in reported.values():
-            self._orphans.handle_orphan(machine, orphan)
+        self._orphans.handle_orphans(machine, reported.values())
 
     @staticmethod
     def _is_converged(
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -47,7 +47,8 @@
     """One term of a leader.
 
     `active` is true from the end of the log's replay to the end of the term. Replies that arrive
-    later are ignored.
+    later are ignored. Its number rises when the leader takes a further term and leads on: a fencing
+    token above that of commands sent before, of which no copy is executed any more.
     """
 
     def __init__(
@@ -59,6 +60,10 @@
         `machine_types`: the machine types that an earlier term knew, by name.
         """
         self.number = number
+        self.first_number = number
+        """The number with which the term began: tokens from it on are this leader's."""
+        self.pending_number = 0
+        """The number that the leader is taking; 0 if it takes none."""
         self.runtime = context.runtime
         self.settings = context.settings
         self.policy = context.policy
@@ -79,6 +84,24 @@
         self.on_higher_token: Callable[[str, int], None] = _ignore_token
         """Called with the machine and its fencing token if that is above the term's number."""
 
+    def begin_raise(self, number: int) -> None:
+        """Records that the leader is taking that number; it may be stored already."""
+        self.pending_number = number
+
+    def complete_raise(self) -> None:
+        """Continues the term under the number that the leader has taken."""
+        self.number = self.pending_number
+        self.pending_number = 0
+        self.authority.change_term(self.number)
+
+    def is_own_token(self, token: int) -> bool:
+        """Whether a machine with that fencing token obeys this leader."""
+        return self.first_number <= token <= max(self.number, self.pending_number)
+
+    def is_later_token(self, token: int) -> bool:
+        """Whether only a later leader can have sent that fencing token."""
+        return token > max(self.number, self.pending_number)
+
     def end(self) -> None:
         """Ends the term: replies that arrive later are ignored."""
         self.active = False
--- a/flaxtally/leader/term_duties.py
+++ b/flaxtally/leader/term_duties.py
@@ -9,6 +9,7 @@
 from .commands import CommandSender, CommandTransport
 from .gang_scheduling.gang_scheduler import GangScheduler
 from .jobs import JobRegistry
+from .launch_fence import LaunchFence
 from .reconciliation.failure_attribution import FailureAttribution
 from .reconciliation.health_checks import HealthChecks
 from .reconciliation.heartbeat_handler import HeartbeatHandler
@@ -20,6 +21,8 @@
 from .scheduling.scheduler import Scheduler
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..ledger.placement import Placement
     from ..lending.feature import LendingFeature
     from ..protocol import wire
@@ -33,10 +36,15 @@
     """All duties of one term. The leader creates the next term's when the term ends."""
 
     def __init__(
-        self, term: Term, transport: CommandTransport, lending: LendingFeature | None
+        self,
+        term: Term,
+        transport: CommandTransport,
+        raise_token: Callable[[], None],
+        lending: LendingFeature | None,
     ) -> None:
         """Connects the duties; none of them acts before the term becomes active.
 
+        `raise_token`: has the leader take a further term and lead on in it.
         `lending`: the feature by which loans between teams are reclaimed; None if it is disabled:
         then jobs preempt those that they precede, and nothing is recorded.
         """
@@ -45,7 +53,10 @@
         self.jobs = JobRegistry(term, self.commands)
         self.stragglers = Stragglers(term, self.jobs, self.commands)
         self.failure_attribution = FailureAttribution(term, self.jobs)
-        self.gang_scheduler = GangScheduler(term, self.jobs, self.commands, self._finish_attempt)
+        self.launch_fence = LaunchFence(term, raise_token)
+        self.gang_scheduler = GangScheduler(
+            term, self.jobs, self.commands, self.launch_fence, self._finish_attempt
+        )
         self.reconciler = self._create_reconciler()
         self.heartbeat_handler = self._create_heartbeat_handler()
         self.machine_monitor = self._create_machine_monitor()
@@ -76,6 +87,7 @@
             self.stragglers,
             self.failure_attribution,
             self.gang_scheduler,
+            self.launch_fence,
         )
 
     def _create_heartbeat_handler(self) -> HeartbeatHandler:
@@ -119,9 +131,16 @@
         self.scheduler.refresh_machines()
         self.scheduler.resume_backed_off_jobs()
         self.scheduler.preemption.check_stops()
+        self.launch_fence.check()
         # Compaction at the interval of fleet planning falls behind if jobs are many and short.
         self.term.ledger.compact()
 
+    def on_token_raised(self) -> None:
+        """Handles that this leader leads on under a higher fencing token."""
+        self.launch_fence.on_token_raised()
+        self.commands.on_token_raised()
+        self.gang_scheduler.on_token_raised()
+
     def plan_fleet(self) -> None:
         """Provisions and terminates machines; samples how much the teams lend and borrow."""
         self.autoscaler.scale(self.consolidation.consolidate)
--- a/flaxtally/ledger/group_commit.py
+++ b/flaxtally/ledger/group_commit.py
@@ -10,7 +10,7 @@
 
 import logging
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from ..cluster.leader_key import LEADER_KEY
 from ..runtime.actor import Actor
@@ -42,10 +42,19 @@
     """Time to wait for more records, or requests, that are then sent together."""
 
 
+class KeyChange(NamedTuple):
+    """A value of the leader key that the leader writes itself, to take a further term."""
+
+    value: dict[str, Any]
+    on_written: Callable[[int], None]
+    """Gets the key's new version, before the callbacks of the records written with it."""
+
+
 @dataclass
 class _Commit:
     """What a transaction changes."""
 
+    key_change: KeyChange | None
     creates_origin: bool
     deletes: list[int]
     max_pages: int
@@ -88,6 +97,8 @@
         self._sender = TransactionSender(runtime, store, bucket, timings.retry_s, self._on_outcome)
         self._is_open = True
         self._is_scheduled = False
+        self._key_change: KeyChange | None = None
+        """The change of the leader key that the next transaction makes."""
         self._in_flight: _Commit | None = None
         self._last_page = 0
         self._last_page_records: list[StoredRecord] = []
@@ -103,6 +114,15 @@
         self._is_open = False
         self._sender.close()
 
+    def change_leader_key(self, change: KeyChange) -> None:
+        """Writes the leader key with the next transaction, and guards later ones by its version."""
+        self._key_change = change
+        self.schedule()
+
+    def find_applied(self) -> None:
+        """Finds out now whether the transaction in flight was executed: its reply may be lost."""
+        self._sender.find_applied()
+
     def delete_pages(self, pages: list[int]) -> None:
         """Deletes pages whose live records are stored in other pages."""
         self.pages_to_delete += pages
@@ -132,6 +152,7 @@
         self._take_records(commit)
         transaction = self._build_transaction(commit)
         self.pages_to_delete = self.pages_to_delete[len(commit.deletes) :]
+        self._key_change = None
         self._bucket.take(commit.cost)
         if commit.pages:
             self._last_page = max(commit.pages)
@@ -140,17 +161,19 @@
         self._sender.send(transaction)
 
     def _has_work(self) -> bool:
-        return bool(self._queue or self.pages_to_delete)
+        return bool(self._queue or self.pages_to_delete or self._key_change)
 
     def _plan(self) -> _Commit:
         """Plans how many pages the next transaction may write and delete."""
         has_records = bool(self._queue)
+        changes_key = self._key_change is not None
         creates_origin = has_records and not self.page_versions
-        changes = self._limits.transaction_changes - creates_origin
+        changes = self._limits.transaction_changes - creates_origin - changes_key
         deletes = self.pages_to_delete[: changes - has_records]
         max_pages = max(0, min(changes - len(deletes), self._limits.transaction_pages))
         written = min(self._queue.page_count, max_pages)
-        return _Commit(creates_origin, deletes, max_pages, written + len(deletes) + creates_origin)
+        cost = written + len(deletes) + creates_origin + changes_key
+        return _Commit(self._key_change, creates_origin, deletes, max_pages, cost)
 
     def _take_records(self, commit: _Commit) -> None:
         """Moves records from the queue into the pages of the commit."""
@@ -183,6 +206,8 @@
             expected_versions.setdefault(page_key(before), self.page_versions[before])
         for page in commit.deletes:
             expected_versions[page_key(page)] = self.page_versions.pop(page)
+        if commit.key_change is not None:
+            writes[LEADER_KEY] = commit.key_change.value
         return Transaction(expected_versions, writes, [page_key(page) for page in commit.deletes])
 
     def _on_outcome(self, outcome: CommitOutcome, revision: int) -> None:
@@ -203,6 +228,9 @@
         for page in commit.written_pages:
             self.page_versions[page] = revision
         self._in_flight = None
+        if commit.key_change is not None:
+            self._leader_key_version = revision
+            commit.key_change.on_written(revision)
         for callback in commit.callbacks:
             self.runtime.soon(self._call, callback)
         if self._has_work():
--- a/flaxtally/ledger/leadership_barrier.py
+++ b/flaxtally/ledger/leadership_barrier.py
@@ -54,17 +54,26 @@
         first_call_timeout_s: float,
         batching_delay_s: float,
         on_leadership_lost: Callable[[], None],
+        on_key_changed: Callable[[], None],
     ) -> None:
-        """`on_leadership_lost` is called when another controller leads."""
+        """`on_leadership_lost` is called when another controller leads.
+
+        `on_key_changed` is called if the leader key has changed while this controller writes it.
+        """
         super().__init__(runtime)
         self._store = store
         self._leader_key_version = leader_key_version
         self._on_leadership_lost = on_leadership_lost
+        self._on_key_changed = on_key_changed
         self._first_call_timeout_s = first_call_timeout_s
         self._batching_delay_s = batching_delay_s
         self._waiting: list[_Request] = []
         self._is_open = True
         self._is_sending = False
+        self._is_key_changing = False
+        """Whether this controller is writing the leader key itself."""
+        self._is_held = False
+        """Whether the next round waits until the leader key is written."""
         self._round = 0
         """Number of the transaction that is in flight, or else of the next one."""
 
@@ -86,19 +95,54 @@
         for request in waiting:
             request.resolve(is_leading=False)
 
+    def begin_key_change(self) -> None:
+        """From now on a conflict may be due to this controller's own write of the leader key."""
+        self._is_key_changing = True
+
+    def complete_key_change(self, leader_key_version: int) -> None:
+        """Compares with that version of the leader key, which this controller has written."""
+        self._leader_key_version = leader_key_version
+        self._is_key_changing = False
+        if self._is_held:
+            self._is_held = False
+            self._send_round()
+
     def _send_round(self) -> None:
         if not self._is_open:
             return
+        key_version = self._leader_key_version
         requests = self._waiting
         self._waiting = []
         round_number = self._round
 
         def on_reply(outcome: Outcome, _: int) -> None:
             timer.cancel()
-            self._on_reply(round_number, requests, outcome)
+            if outcome is Outcome.CONFLICT and self._may_be_own_change(key_version):
+                self._repeat_after_key_change(round_number, requests)
+            else:
+                self._on_reply(round_number, requests, outcome)
 
         timer = self.later(self._first_call_timeout_s, self._on_timeout, round_number, requests)
-        self._store.compare_and_swap({LEADER_KEY: self._leader_key_version}, {}, [], on_reply)
+        self._store.compare_and_swap({LEADER_KEY: key_version}, {}, [], on_reply)
+
+    def _may_be_own_change(self, key_version: int) -> bool:
+        """Whether this controller may have changed the leader key since a round was sent."""
+        return self._is_open and (self._is_key_changing or key_version != self._leader_key_version)
+
+    def _repeat_after_key_change(self, round_number: int, requests: list[_Request]) -> None:
+        """Sends the requests again once the leader key's new version is known.
+
+        Those of a round that timed out have been sent again since.
+        """
+        if round_number != self._round:
+            return
+        self._waiting = [each for each in requests if not each.is_resolved] + self._waiting
+        self._round += 1
+        if self._is_key_changing:
+            self._is_held = True
+            self._on_key_changed()
+        else:
+            self.later(self._batching_delay_s / 2, self._send_round)
 
     def _on_reply(self, round_number: int, requests: list[_Request], outcome: Outcome) -> None:
         is_lost = self._is_open and outcome is Outcome.CONFLICT
--- a/flaxtally/ledger/placement.py
+++ b/flaxtally/ledger/placement.py
@@ -52,6 +52,7 @@
         "is_committed",
         "is_inherited",
         "launch_incarnation",
+        "launch_token",
         "launches_in_flight",
         "proposed_at",
         "started_at",
@@ -74,6 +75,8 @@
         """Whether an earlier leader placed it."""
         self.launch_incarnation = 0
         """The newest incarnation of the worker to which a launch was sent; 0: none was sent."""
+        self.launch_token = 0
+        """The highest fencing token under which a launch was sent in this term; 0: none was."""
         self.launches_in_flight = 0
         """Number of launch commands without a reply."""
         self.was_reported = False
--- a/flaxtally/ledger/transaction.py
+++ b/flaxtally/ledger/transaction.py
@@ -32,8 +32,8 @@
 class Transaction:
     """Pages to write and to delete, by compare-and-swap. A retry sends it unchanged.
 
-    The first write, if any, is of a page with a record that no earlier transaction wrote: reading
-    that page back shows whether this transaction was executed.
+    The first write, if any, is of a page with a record that no earlier transaction wrote, or of the
+    leader key with a new term: reading that key back shows whether this transaction was executed.
     """
 
     expected_versions: dict[str, int]
@@ -45,6 +45,17 @@
         """How many writes and deletes it has."""
         return len(self.writes) + len(self.deletes)
 
+    @property
+    def identifying_key(self) -> str:
+        """The key that shows whether this transaction was executed."""
+        return next(iter([*self.writes, *self.deletes]))
+
+    def has_written(self, row: wire.Row) -> bool:
+        """Whether the row of the identifying key shows that this transaction was executed."""
+        key = self.identifying_key
+        is_changed = row.version != self.expected_versions[key]
+        return is_changed and pack(row.value) == pack(self.writes.get(key))
+
 
 class TransactionSender(Actor):
     """Sends transactions, one at a time, during one term of leadership."""
@@ -64,6 +75,8 @@
         self._retry_s = retry_s
         self._on_outcome = on_outcome
         self._is_open = True
+        self._transaction: Transaction | None = None
+        """The transaction whose outcome is not known yet."""
         self._may_be_applied = False
         """Whether the store may have executed a copy of the present transaction without a reply."""
 
@@ -74,14 +87,41 @@
     def send(self, transaction: Transaction) -> None:
         """Sends the transaction, and retries it until its outcome is certain."""
         self._may_be_applied = False
+        self._transaction = transaction
         self._send_copy(transaction)
 
+    def find_applied(self) -> None:
+        """Finds out now whether the present transaction was executed, whose reply may be lost."""
+        transaction = self._transaction
+        if transaction is not None:
+            self._store.get(
+                transaction.identifying_key,
+                lambda _, row: self._on_looked_up(transaction, row),
+            )
+
+    def _on_looked_up(self, transaction: Transaction, row: wire.Row | None) -> None:
+        self._finish_if_applied(transaction, row)
+
+    def _is_pending(self, transaction: Transaction) -> bool:
+        return self._is_open and self._transaction is transaction
+
+    def _finish(self, outcome: CommitOutcome, revision: int) -> None:
+        self._transaction = None
+        self._on_outcome(outcome, revision)
+
+    def _finish_if_applied(self, transaction: Transaction, row: wire.Row | None) -> bool:
+        """Ends the transaction if the row shows that it was executed; returns whether it does."""
+        is_applied = row is not None and transaction.has_written(row)
+        if is_applied and row is not None and self._is_pending(transaction):
+            self._finish(CommitOutcome.COMMITTED, row.version)
+        return is_applied
+
     def _send_copy(self, transaction: Transaction) -> None:
-        if not self._is_open:
+        if not self._is_pending(transaction):
             return
 
         def on_reply(outcome: Outcome, revision: int) -> None:
-            if self._is_open:
+            if self._is_pending(transaction):
                 self._on_reply(transaction, outcome, revision)
 
         self._store.compare_and_swap(
@@ -95,14 +135,14 @@
 
     def _on_reply(self, transaction: Transaction, outcome: Outcome, revision: int) -> None:
         if outcome is Outcome.COMMITTED:
-            self._on_outcome(CommitOutcome.COMMITTED, revision)
+            self._finish(CommitOutcome.COMMITTED, revision)
         elif outcome is Outcome.CONFLICT and self._may_be_applied:
             # The first copy may have been executed although its reply was lost.
             self._read_back(transaction)
         elif outcome is Outcome.CONFLICT:
-            self._on_outcome(CommitOutcome.CONFLICT, 0)
+            self._finish(CommitOutcome.CONFLICT, 0)
         elif outcome is Outcome.INVALID:
-            self._on_outcome(CommitOutcome.TOO_LARGE, 0)
+            self._finish(CommitOutcome.TOO_LARGE, 0)
         else:
             self._retry(transaction, outcome)
 
@@ -118,26 +158,20 @@
 
     def _read_back(self, transaction: Transaction) -> None:
         """Finds out by one of its keys whether the transaction was executed."""
-        key = next(iter([*transaction.writes, *transaction.deletes]))
         self._store.get(
-            key, lambda is_read, row: self._on_read_back(transaction, key, row, is_read=is_read)
+            transaction.identifying_key,
+            lambda is_read, row: self._on_read_back(transaction, row, is_read=is_read),
         )
 
     def _on_read_back(
-        self, transaction: Transaction, key: str, row: wire.Row | None, *, is_read: bool
+        self, transaction: Transaction, row: wire.Row | None, *, is_read: bool
     ) -> None:
-        """Derives the outcome from one page, since a transaction is atomic."""
-        if not self._is_open:
+        """Derives the outcome from one key, since a transaction is atomic."""
+        if not self._is_pending(transaction):
             return
         if not is_read:
             self.later(self._retry_s, self._read_back, transaction)
         elif row is None and not transaction.writes:
-            self._on_outcome(CommitOutcome.COMMITTED, 0)
-        elif (
-            row is not None
-            and row.version != transaction.expected_versions[key]
-            and pack(row.value) == pack(transaction.writes.get(key))
-        ):
-            self._on_outcome(CommitOutcome.COMMITTED, row.version)
-        else:
-            self._on_outcome(CommitOutcome.CONFLICT, 0)
+            self._finish(CommitOutcome.COMMITTED, 0)
+        elif not self._finish_if_applied(transaction, row):
+            self._finish(CommitOutcome.CONFLICT, 0)
--- a/flaxtally/ledger/write_ahead_log.py
+++ b/flaxtally/ledger/write_ahead_log.py
@@ -18,7 +18,7 @@
 from .batch import PIECE_OVERHEAD_BYTES
 from .cluster_state import ClusterState
 from .compaction import Compactor
-from .group_commit import GroupCommit, LedgerTimings
+from .group_commit import GroupCommit, KeyChange, LedgerTimings
 from .leadership_barrier import LeadershipBarrier
 from .pages import BURST_S, LEDGER_WRITE_FRACTION, ORIGIN_PAGE, PageLimits
 from .record_queue import OnCommitted, RecordQueue
@@ -90,6 +90,7 @@
             self._timings.first_call_timeout_s,
             self._timings.batching_delay_s,
             self._on_leadership_lost,
+            self._commit.find_applied,
         )
         self._replay: Replay | None = None
 
@@ -184,6 +185,21 @@
         """Calls `on_done(True)` once a transaction sent after this call proves leadership."""
         self._barrier.confirm(on_done)
 
+    def change_leader_key(self, value: dict[str, Any], on_written: Callable[[int], None]) -> None:
+        """Writes the leader key as its holder; `on_written` gets the new version.
+
+        Records are committed under the one version before and under the other from then on. If
+        another controller has written the key, the term ends as with any commit.
+        """
+        self._barrier.begin_key_change()
+
+        def on_key_written(version: int) -> None:
+            self.leader_key_version = version
+            self._barrier.complete_key_change(version)
+            on_written(version)
+
+        self._commit.change_leader_key(KeyChange(value, on_key_written))
+
     def fits_in_page(self, record: Record) -> bool:
         """Returns whether the record fits into a page, also within a batch."""
         return record_size(record) <= self._limits.page_bytes - PIECE_OVERHEAD_BYTES
--- a/flaxtally/planning/fleet.py
+++ b/flaxtally/planning/fleet.py
@@ -52,6 +52,8 @@
     """Whether it has reported under the current fencing token."""
     incarnation: int = 0
     sequence_number: int = 0
+    fencing_token: int = 0
+    """The token under which it made the last accepted heartbeat."""
     newest_foreign_heartbeat: tuple[int, int] = (0, 0)
     """Incarnation and sequence number of its newest heartbeat with another fencing token."""
     last_heartbeat_at: float = field(init=False)
--- a/flaxtally/policy/__init__.py
+++ b/flaxtally/policy/__init__.py
@@ -86,6 +86,7 @@
     slack: float
     best_effort_price: float
     cool_down: float
+    exits_kept: float
     recall: float
     pool_rest: float
     move_after: float
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import random
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -145,6 +146,13 @@
         self.faults_ended_at = float("inf")
         self.delivered_copies = 0
         """Number of duplicated heartbeats that were sent to a controller."""
+        self.executed_batches: list[tuple[str, wire.CommandBatch]] = []
+        """The command batches that machines executed and answered, with the machine."""
+        self.delivered_batch_copies = 0
+        """Number of copies of such batches that reached a machine, executed or not."""
+        self._batch_copy_fraction = 0.0
+        self._copy_rng = random.Random(f"{seed}/copies")
+        """Of its own, so that copies change nothing about the other random events."""
         self._duplicate_fraction, self._duplicate_in_next_term = 0.0, False
         self._kept_heartbeats: list[tuple[int, wire.Heartbeat]] = []
         self.broken: set[str] = set()
@@ -283,6 +291,7 @@
             self.gangs,
         )
         worker.on_heartbeat_sent = self._duplicate_at_random
+        worker.on_batch_executed = partial(self._record_batch, machine.machine)
         worker.does_job_fail = lambda ref: (
             ref in self.broken or machine.machine in self.faulty_machines
         )
@@ -460,6 +469,29 @@
             "POST", wire.HEARTBEAT, report, 4.0, lambda _: None
         )
 
+    def copy_command_batches(self, fraction: float, for_s: float) -> None:
+        """Delivers a copy of that fraction of the command batches that were executed and answered.
+
+        The copy arrives 0.1 to 24 s later: at most 2.4 worker leases.
+        """
+        self._batch_copy_fraction = fraction
+        self.after(for_s, setattr, self, "_batch_copy_fraction", 0.0)
+
+    def _record_batch(self, machine: str, commands: wire.CommandBatch) -> None:
+        self.executed_batches.append((machine, commands))
+        if self._batch_copy_fraction and self._copy_rng.random() < self._batch_copy_fraction:
+            # Half of the copies arrive within 1.5 s.
+            delay_s = 0.1 * 240.0 ** self._copy_rng.random()
+            self.after(delay_s, self.deliver_batch_copy, machine, commands)
+
+    def deliver_batch_copy(self, machine: str, commands: wire.CommandBatch) -> bool:
+        """Delivers a copy of a batch to the machine; returns whether it was executed."""
+        worker = self.workers.get(machine)
+        if worker is None:
+            return False
+        self.delivered_batch_copies += 1
+        return worker.receive_late(commands)
+
     def inject_machine_fault(self, fault: str, machines: list[str], for_s: float) -> None:
         """Applies a fault to the machines.
 
--- a/tests/test_gang_faults.py
+++ b/tests/test_gang_faults.py
@@ -274,6 +274,7 @@
     cluster.submit(spec("j-000009", tasks=3))
     cluster.run(15.0)
     refs = submit_gangs(cluster)
+    cluster.copy_command_batches(0.2, 80.0)
     for _ in range(FAULT_COUNT):
         cluster.run(cluster.rng.uniform(1.0, 6.0))
         faults.inject()
--- a/tests/test_gang_orphans.py
+++ b/tests/test_gang_orphans.py
@@ -24,6 +24,7 @@
 TASK = "j-000001/0"
 EXITED = wire.TaskStatus(TASK, 1, wire.EXITED, wire.CAUSE_ERROR)
 LIVE = wire.TaskStatus(TASK, 1, wire.WAITING)
+TOKEN = 5
 
 
 def make_state() -> ClusterState:
@@ -43,6 +44,7 @@
 def make_orphans(state: ClusterState) -> tuple[GangOrphans, Job]:
     """Returns orphans of a term with that state, and the gang."""
     term = SimpleNamespace(
+        number=TOKEN,
         ledger=SimpleNamespace(state=state),
         runtime=None,
         settings=None,
@@ -51,7 +53,8 @@
         fleet=None,
         rng=None,
     )
-    return GangOrphans(term), state.jobs[1]  # type: ignore[arg-type]
+    fence = SimpleNamespace(await_gang_commands=lambda: None)
+    return GangOrphans(term, fence), state.jobs[1]  # type: ignore[arg-type]
 
 
 def test_machine_is_excluded_until_it_has_forgotten_the_exit() -> None:
@@ -60,11 +63,17 @@
     assert orphans.update(MACHINE, [EXITED]) == set()
     assert orphans.find_excluded_machines(job) == {MACHINE}
     assert orphans.find_forgetting_machines(job) == {MACHINE}
-    assert orphans.may_send_forget(MACHINE, EXITED)
+    assert orphans.may_send_forget(MACHINE, TOKEN, EXITED)
+    orphans.record_forget(MACHINE, EXITED, TOKEN)
     # Sent a second time, the command could arrive after the replacement has exited.
     assert orphans.update(MACHINE, [EXITED]) == set()
-    assert not orphans.may_send_forget(MACHINE, EXITED)
-    assert orphans.update(MACHINE, []) == {job}
+    assert not orphans.may_send_forget(MACHINE, TOKEN, EXITED)
+    # So could a copy of it, unless the launch of the replacement carries a higher token.
+    assert orphans.update(MACHINE, []) == set()
+    assert orphans.find_excluded_machines(job) == {MACHINE}
+    assert orphans.find_forgetting_machines(job) == {MACHINE}
+    orphans.term.number += 1
+    assert orphans.on_token_raised() == {job}
     assert not orphans.find_excluded_machines(job)
 
 
@@ -92,8 +101,8 @@
     state.apply(record(*items), 1)
     orphans.update(MACHINE, [LIVE])
     assert not orphans.find_excluded_machines(job)
-    assert orphans.may_send_forget(MACHINE, EXITED)
-    assert orphans.may_send_forget(MACHINE, EXITED)
+    assert orphans.may_send_forget(MACHINE, TOKEN, EXITED)
+    assert orphans.may_send_forget(MACHINE, TOKEN, EXITED)
 
 
 def test_next_attempt_may_use_the_machine() -> None:
@@ -114,33 +123,59 @@
     unknown = wire.TaskStatus("j-000999/0", 1, wire.EXITED, wire.CAUSE_DONE)
     orphans.update("n-000004", [other, unknown])
     orphans.update(MACHINE, [EXITED, other])
-    assert orphans.may_send_forget(MACHINE, other)
-    assert orphans.may_send_forget(MACHINE, other)
+    assert orphans.may_send_forget(MACHINE, TOKEN, other)
+    assert orphans.may_send_forget(MACHINE, TOKEN, other)
     orphans.forget_machine(MACHINE)
     assert not orphans.find_excluded_machines(job)
     assert not orphans._by_machine
 
 
-@given(st.lists(st.lists(st.sampled_from([EXITED, LIVE]), max_size=1), max_size=8))
+def test_forget_command_is_sent_again_once_the_machine_refuses_the_first() -> None:
+    # It was lost: the exit is listed under a higher token than the command had.
+    orphans, _ = make_orphans(make_state())
+    orphans.update(MACHINE, [EXITED])
+    assert orphans.may_send_forget(MACHINE, TOKEN, EXITED)
+    orphans.record_forget(MACHINE, EXITED, TOKEN)
+    orphans.update(MACHINE, [EXITED])
+    assert orphans.may_send_forget(MACHINE, TOKEN + 1, EXITED)
+    assert not orphans.may_send_forget(MACHINE, TOKEN + 1, EXITED)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.lists(st.sampled_from([EXITED, LIVE]), max_size=1), st.booleans(), st.booleans()
+        ),
+        max_size=10,
+    )
+)
 @settings(derandomize=True, deadline=None)
-def test_replaceable_machine_has_no_command_on_its_way(
-    reports: list[list[wire.TaskStatus]],
+def test_replacement_meets_no_copy_of_a_command_about_an_earlier_task(
+    reports: list[tuple[list[wire.TaskStatus], bool, bool]],
 ) -> None:
-    # Whatever a machine reports: once it may take a replacement, no command about an earlier task
-    # of that name can still arrive. Commands are late; a forget command has arrived if the exit is
-    # gone, since nothing else removes it.
+    # Whatever a machine reports: once it may take a replacement, whose launch raises its token to
+    # the term's, no command about an earlier task of that name can be executed, nor a copy of one.
+    # Commands are late; a forget command has arrived if the exit is gone.
     orphans, job = make_orphans(make_state())
-    open_forgets = open_stops = 0
-    for reported in reports:
+    machine_token, open_forgets, forget_token, is_stop_sent = TOKEN, 0, 0, False
+    for reported, is_raised, is_token_seen in reports:
+        if is_raised:
+            orphans.term.number += 1
+            orphans.on_token_raised()
+        if is_token_seen:
+            machine_token = orphans.term.number
         orphans.update(MACHINE, reported)
         for task in reported:
             if task.state != wire.EXITED:
-                open_stops += 1
-            elif orphans.may_send_forget(MACHINE, task):
-                open_forgets += 1
+                is_stop_sent = True
+            elif orphans.may_send_forget(MACHINE, machine_token, task):
+                assert not open_forgets or forget_token < machine_token
+                open_forgets, forget_token = 1, orphans.term.number
+                orphans.record_forget(MACHINE, task, forget_token)
         if not reported:
-            open_forgets = max(0, open_forgets - 1)
+            open_forgets = 0
         if MACHINE not in orphans.find_excluded_machines(job):
             assert not reported
             assert not open_forgets
-            assert not open_stops
+            assert forget_token < orphans.term.number
+            assert not is_stop_sent
--- a/tests/test_leader_authority.py
+++ b/tests/test_leader_authority.py
@@ -146,6 +146,7 @@
     audit = ActAudit(cluster, monkeypatch)
     act_as_leader(cluster)
     submit_steady_load(cluster, 80.0, interval_s=2.0)
+    cluster.copy_command_batches(0.2, 80.0)
     for _ in range(20):
         inject_random_fault(cluster)
         cluster.run(cluster.rng.uniform(0.5, 6.0))
--- a/tests/test_lending_failures.py
+++ b/tests/test_lending_failures.py
@@ -77,8 +77,8 @@
 Step = tuple[type, str, bool, Callable[..., bool]]
 
 
-def is_stop(_: CommandSender, __: Machine, commands: list[wire.Command], ___: Any) -> bool:
-    return any(command.verb == wire.STOP for command in commands)
+def is_stop(_: CommandSender, __: Machine, queued: list[Any]) -> bool:
+    return any(each.command.verb == wire.STOP for each in queued)
 
 
 def is_of_borrower(_: AttemptFinisher, placed: Placement, *__: Any) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -67,6 +67,14 @@
     rules.record_start(f"{REF}/1", 1, listed("n-1"), 4.0)
 
 
+def started_outdated(rules: Rules) -> None:
+    rules.record_end(f"{REF}/0", 1, "n-0", False)
+    rules.record_start(f"{REF}/0", 2, listed("n-1"), 3.0)
+    rules.record_end(f"{REF}/0", 2, "n-1", False)
+    assert not rules.broken
+    rules.record_start(f"{REF}/0", 1, listed("n-0"), 4.0)
+
+
 def forgotten(rules: Rules) -> None:
     rules.record_reply("poll", REF, 2.0, 2.1, 404, None)
 
@@ -124,6 +132,7 @@
     "quota": [quota],
     "ran_cancelled": [ran_cancelled],
     "started_cancelled": [started_cancelled],
+    "started_outdated": [started_outdated],
     "forgotten": [forgotten, refused_again, unanswered],
     "invented": [invented],
     "not_done": [not_done],
