Machines whose exits wait for a higher token count as converged; a held confirmation of leadership is given up in time

Need: exits are listed for up to two leases now, so a machine that ran something was compared with its placements at each heartbeat. And a confirmation that conflicted with this controller's own write of the leader key waited for the outcome without a bound, in an outage as long as that lasts: then the word of the other controllers was never asked for.

Change: exits that nothing can be done about before the token rises don't keep a machine from being converged; the rise has it looked at again. A held confirmation ends as not confirmed after the time of a first call.

--- a/flaxtally/leader/reconciliation/orphans.py
+++ b/flaxtally/leader/reconciliation/orphans.py
@@ -57,6 +57,24 @@
         self._forgets_sent_at.pop(machine.name, None)
         self._gang_orphans.forget_machine(machine.name)
 
+    def on_token_raised(self) -> None:
+        """Has all exits looked at again that waited for a higher fencing token."""
+        for name in self._exits:
+            machine = self.fleet.machines.get(name)
+            if machine is not None:
+                machine.converged_tasks = None
+
+    def all_await_token(self, machine: Machine, tasks: Iterable[wire.TaskStatus]) -> bool:
+        """Whether nothing is to be done about these tasks before the fencing token rises."""
+        exits = self._exits.get(machine.name, {})
+        return all(
+            task.state == wire.EXITED
+            and (placement := exits.get((task.task, task.attempt))) is not None
+            and not placement.is_committed
+            and not self._launch_fence.is_fenced(machine, placement)
+            for task in tasks
+        )
+
     def handle_orphans(self, machine: Machine, tasks: Iterable[wire.TaskStatus]) -> None:
         """Stops the tasks that the log does not place on the machine, or lets it forget them."""
         now = self.runtime.now()
--- a/flaxtally/leader/reconciliation/reconciler.py
+++ b/flaxtally/leader/reconciliation/reconciler.py
@@ -31,7 +31,8 @@
     """Brings the placements of a machine and its tasks into agreement.
 
     A machine is converged if the same status would change nothing when received again: it reports
-    all its placements and no other tasks, and no task has exited or must be stopped.
+    all its placements and no other tasks but exited ones that it may not forget before the fencing
+    token rises, and no task of a placement has exited or must be stopped.
     """
 
     def __init__(
@@ -65,7 +66,8 @@
         reported = {(task.task, task.attempt): task for task in tasks}
         placements = list(machine.placements.values())
         # Set before the tasks are handled: a command or a finished attempt resets it.
-        machine.converged_tasks = tasks if self._is_converged(placements, reported) else None
+        is_converged = self._is_converged(machine, placements, reported)
+        machine.converged_tasks = tasks if is_converged else None
         for placement in placements:
             task = reported.pop((placement.name, placement.attempt), None)
             if task is None:
@@ -77,16 +79,22 @@
         self._gang_scheduler.on_orphans_reported(machine.name, reported.values())
         self._orphans.handle_orphans(machine, reported.values())
 
-    @staticmethod
     def _is_converged(
-        placements: list[Placement], reported: dict[tuple[str, int], wire.TaskStatus]
+        self,
+        machine: Machine,
+        placements: list[Placement],
+        reported: dict[tuple[str, int], wire.TaskStatus],
     ) -> bool:
-        return len(reported) == len(placements) and all(
-            not placement.job.is_cancelled
-            and (task := reported.get((placement.name, placement.attempt))) is not None
-            and task.state != wire.EXITED
-            for placement in placements
-        )
+        others = dict(reported)
+        for placement in placements:
+            task = others.pop((placement.name, placement.attempt), None)
+            if task is None or task.state == wire.EXITED or placement.job.is_cancelled:
+                return False
+        return self._orphans.all_await_token(machine, others.values())
+
+    def on_token_raised(self) -> None:
+        """Handles that commands carry a higher fencing token: exits may be forgotten."""
+        self._orphans.on_token_raised()
 
     # A placement that the machine does not report
 
--- a/flaxtally/leader/term_duties.py
+++ b/flaxtally/leader/term_duties.py
@@ -140,6 +140,7 @@
         self.launch_fence.on_token_raised()
         self.commands.on_token_raised()
         self.gang_scheduler.on_token_raised()
+        self.reconciler.on_token_raised()
 
     def plan_fleet(self) -> None:
         """Provisions and terminates machines; samples how much the teams lend and borrow."""
--- a/flaxtally/ledger/leadership_barrier.py
+++ b/flaxtally/ledger/leadership_barrier.py
@@ -132,7 +132,8 @@
     def _repeat_after_key_change(self, round_number: int, requests: list[_Request]) -> None:
         """Sends the requests again once the leader key's new version is known.
 
-        Those of a round that timed out have been sent again since.
+        They are not confirmed if that takes too long. Those of a round that timed out have been
+        sent again since.
         """
         if round_number != self._round:
             return
@@ -140,10 +141,21 @@
         self._round += 1
         if self._is_key_changing:
             self._is_held = True
+            self.later(self._first_call_timeout_s, self._give_up_held_round, self._round)
             self._on_key_changed()
         else:
             self.later(self._batching_delay_s / 2, self._send_round)
 
+    def _give_up_held_round(self, round_number: int) -> None:
+        if not self._is_held or round_number != self._round:
+            return
+        self._is_held = False
+        self._is_sending = False
+        requests = self._waiting
+        self._waiting = []
+        for request in requests:
+            request.resolve(is_leading=False)
+
     def _on_reply(self, round_number: int, requests: list[_Request], outcome: Outcome) -> None:
         is_lost = self._is_open and outcome is Outcome.CONFLICT
         if is_lost:
