--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -10,12 +10,14 @@
 from flaxtally.protocol import wire
 
 from .scenarios import (
+    change_leader,
     check_final_state,
     start_busy_cluster,
     submit_steady_load,
     wait_for_leader,
 )
-from .simulated_cluster import SimulatedCluster, batch, spec
+from .simulated_cluster import GANG_WAIT_S, SimulatedCluster, batch, spec
+from .test_placement_identity import GANG, start_waiting_gang
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,15 +30,22 @@
 """Seconds, after the task was placed anew or cancelled, at which copies of its launch arrive."""
 
 
-def find_launches(cluster: SimulatedCluster, task: str) -> list[tuple[str, wire.CommandBatch]]:
-    """Returns the batches that launched the task, with their machines, the oldest first."""
+def find_batches(
+    cluster: SimulatedCluster, verb: str, task: str
+) -> list[tuple[str, wire.CommandBatch]]:
+    """Returns the executed batches with that command, with their machines, the oldest first."""
     return [
         (machine, commands)
         for machine, commands in cluster.executed_batches
-        if any((each.verb, each.task) == (wire.LAUNCH, task) for each in commands.commands)
+        if any((each.verb, each.task) == (verb, task) for each in commands.commands)
     ]
 
 
+def find_launches(cluster: SimulatedCluster, task: str) -> list[tuple[str, wire.CommandBatch]]:
+    """Returns the batches that launched the task, with their machines, the oldest first."""
+    return find_batches(cluster, wire.LAUNCH, task)
+
+
 def count_starts(cluster: SimulatedCluster) -> int:
     """Returns how often the task was started on any machine."""
     return sum(f"{TASK} try" in line and " start on " in line for line in cluster.trace)
@@ -123,6 +132,23 @@
     check_final_state(cluster)
 
 
+def test_late_copies_about_a_lost_gang_task_do_not_meet_its_replacement() -> None:
+    # The replacement has the same name: an old forget command would erase its exit.
+    cluster, failing = start_waiting_gang()
+    machine = failing.machine.machine
+    task = next(task for task, _ in failing.tasks if task.startswith(GANG))
+    change_leader(cluster, restart_after_s=5.0)
+    assert cluster.run_until(lambda: (GANG, 1) in cluster.gangs.started_attempts, GANG_WAIT_S), (
+        cluster.trace
+    )
+    first_launch, second_launch = find_launches(cluster, task)
+    forgets = find_batches(cluster, wire.FORGET, task)
+    assert {place for place, _ in (first_launch, second_launch, *forgets)} == {machine}
+    for _, commands in (first_launch, *forgets):
+        assert not cluster.deliver_batch_copy(machine, commands)
+    check_final_state(cluster)
+
+
 def test_exits_are_forgotten_within_a_minute_without_a_change_of_leader() -> None:
     # An exit that stays listed for ever makes reports and workers grow without end.
     cluster = start_busy_cluster()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -98,6 +98,29 @@
     check_final_state(cluster)
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_old_followers_follow_a_new_leader_that_raises_its_token(seed: int) -> None:
+    # Machines that report to a controller of the old version must hear of the higher token, and
+    # keep their leases and tasks, also when such a controller leads next.
+    cluster = start_serving_cluster(seed, upgraded=NODES[:1])
+    for _ in range(10):
+        if wait_for_leader(cluster) == NODES[0]:
+            break
+        change_leader(cluster, restart_after_s=0.5)
+    term = cluster.nodes[NODES[0]].leader.term
+    first = term.number
+    submit_small_jobs(cluster)
+    cluster.copy_command_batches(0.5, 50.0)
+    cluster.run(55.0)
+    assert wait_for_leader(cluster) == NODES[0]
+    assert term.number > term.first_number == first
+    assert {node.election.term for node in cluster.nodes.values()} == {term.number}
+    assert {worker.fencing_token for worker in cluster.workers.values()} == {term.number}
+    assert {worker.incarnation for worker in cluster.workers.values()} == {1}
+    assert change_leader(cluster, restart_after_s=0.5) != NODES[0]
+    check_final_state(cluster)
+
+
 def test_controller_that_restarts_before_its_upgrade_delays_the_format() -> None:
     # The format must not be raised while a controller of the old version may return.
     cluster = start_serving_cluster()
