Refused commands are sent again to the same incarnation only; exits of earlier incarnations are dropped

Change: a command that was refused by the leader's own higher token is sent again only to the worker's incarnation that it was made for: in the next one a forget command could meet a gang's replacement. Records of exits that a machine forgot by beginning a new session are dropped when the token rises (before, they were kept until the machine went). A follower counts a heartbeat of its leader under the term just before, not under any earlier one.

--- a/flaxtally/cluster/election_state.py
+++ b/flaxtally/cluster/election_state.py
@@ -90,7 +90,7 @@
         self.role = Role.FOLLOWER
         self.term = term
         self.leader = leader
-        self._end_leadership()
+        self._reset_leadership()
 
     def become_candidate(self, reason: TransitionReason) -> None:
         """Changes a follower to a candidate for the next term; other roles stay."""
@@ -110,7 +110,7 @@
         self.role = Role.LEADER
         self.term = term
         self.leader = self._node
-        self._end_leadership()
+        self._reset_leadership()
         self.first_term = term
         self.last_led_term = term
 
@@ -137,9 +137,9 @@
         self._log("event=leader_stepped_down", self.term, reason)
         self.role = Role.FOLLOWER
         self.leader = None
-        self._end_leadership()
+        self._reset_leadership()
 
-    def _end_leadership(self) -> None:
+    def _reset_leadership(self) -> None:
         self.is_ready = False
         self.first_term = 0
         self.pending_term = 0
--- a/flaxtally/cluster/leader_election.py
+++ b/flaxtally/cluster/leader_election.py
@@ -263,7 +263,8 @@
         if term > self.term and leader is not None:
             self._follow(term, leader, TransitionReason.NEWER_TERM_HEARD)
         # A leader that is taking a further term may learn of that later than its followers.
-        if sender == leader == self.leader and term <= self.term and not self.is_leader:
+        is_of_our_term = self.term - 1 <= term <= self.term
+        if sender == leader == self.leader and is_of_our_term and not self.is_leader:
             self._observation.on_leader_heartbeat(self.runtime.now(), heartbeat)
             self.live_members = heartbeat.live_members
 
--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -78,6 +78,14 @@
         return self.launched is not None and not self.launched.is_current
 
 
+class _RefusedBatch(NamedTuple):
+    """Commands that a machine refused by a token of this leader that is higher than theirs."""
+
+    machine: Machine
+    incarnation: int
+    queued: list[_QueuedCommand]
+
+
 class CommandSender(TermActor):
     """Queues and sends commands, and tracks which launch commands may still arrive.
 
@@ -102,8 +110,8 @@
         self.stopping_tasks = StoppingTasks(term)
         self._outbox: dict[str, list[_QueuedCommand]] = {}
         """The commands to be sent, by machine."""
-        self._refused: dict[str, list[_QueuedCommand]] = {}
-        """Commands that machines refused by a token that the leader is taking, by machine."""
+        self._refused: list[_RefusedBatch] = []
+        """Batches that machines refused by a token that the leader is taking."""
         self._confirmed_stops = ConfirmedStops(term, self.stopping_tasks, self._enqueue_stop)
 
     # Commands
@@ -258,22 +266,26 @@
     ) -> None:
         """Sends commands again that a machine refused only by this leader's own higher token."""
         token = heartbeat.fencing_token
-        is_own = batch.fencing_token < token and self.term.is_own_token(token)
-        if not queued or not self.term.active or not is_own:
+        is_token_only = token > batch.fencing_token and heartbeat.incarnation == batch.incarnation
+        if not (queued and is_token_only and self.term.active and self.term.is_own_token(token)):
             return
+        refused = _RefusedBatch(machine, batch.incarnation, queued)
         if token <= self.term.number:
-            self._enqueue(machine, queued)
+            self._send_again(refused)
         else:
-            self._refused.setdefault(machine.name, []).extend(queued)
+            self._refused.append(refused)
+
+    def _send_again(self, refused: _RefusedBatch) -> None:
+        machine = refused.machine
+        if machine.incarnation == refused.incarnation:
+            self._enqueue(machine, refused.queued)
 
     def on_token_raised(self) -> None:
         """Sends the commands again that machines refused by the token, before it was known here."""
-        refused = self._refused
-        self._refused = {}
-        for name, queued in refused.items():
-            machine = self.fleet.machines.get(name)
-            if machine is not None:
-                self._enqueue(machine, queued)
+        all_refused = self._refused
+        self._refused = []
+        for refused in all_refused:
+            self._send_again(refused)
 
     # Replies
 
--- a/flaxtally/leader/reconciliation/orphans.py
+++ b/flaxtally/leader/reconciliation/orphans.py
@@ -59,10 +59,19 @@
 
     def on_token_raised(self) -> None:
         """Has all exits looked at again that waited for a higher fencing token."""
-        for name in self._exits:
+        for name in list(self._exits):
             machine = self.fleet.machines.get(name)
             if machine is not None:
                 machine.converged_tasks = None
+                self._drop_exits_of_earlier_incarnations(machine)
+
+    def _drop_exits_of_earlier_incarnations(self, machine: Machine) -> None:
+        """Drops the exits that the machine has forgotten by itself: its worker started again."""
+        self._exits[machine.name] = {
+            name: placement
+            for name, placement in self._exits[machine.name].items()
+            if placement.is_committed or placement.launch_incarnation >= machine.incarnation
+        }
 
     def all_await_token(self, machine: Machine, tasks: Iterable[wire.TaskStatus]) -> bool:
         """Whether nothing is to be done about these tasks before the fencing token rises."""
