Fake worker: one step a line, named times, and the faults that tests set as attributes of the class

Change: the constructor sets one attribute a line, the protocol's times have names (the hollow worker uses the same constant), and the attributes that tests set to inject faults stand together.

--- a/flaxtally/emulator/hollow_worker.py
+++ b/flaxtally/emulator/hollow_worker.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..fakes.worker import Worker
+from ..fakes.worker import MIN_REPORT_INTERVAL_S, Worker
 from ..protocol import wire
 from .load import Load, parse_job_number
 from .measured import CountingLoop, MeasuredClient
@@ -17,8 +17,6 @@
     from ..runtime.loop import Address
     from .plan import Plan
 
-MIN_REPORT_INTERVAL_S = 0.5
-"""PROTOCOL: a change is reported at once, but reports are at least this many seconds apart."""
 FETCH_VARIATION_FRACTION = 0.33
 """PROTOCOL: the time of an image fetch varies by up to a third in both directions."""
 
--- a/flaxtally/fakes/worker.py
+++ b/flaxtally/fakes/worker.py
@@ -17,6 +17,14 @@
     from ..runtime.loop import Address, Runtime, Timer
     from .gang_rendezvous import GangRendezvous
 
+MIN_REPORT_INTERVAL_S = 0.5
+"""PROTOCOL: a change is reported at once, but reports are at least this many seconds apart."""
+HUNG_CHECK_INTERVAL_S = 0.5
+"""Seconds until a hung machine looks again whether it may continue."""
+REPORT_TIMEOUT_S = 4.0
+RETRY_NEXT_CONTROLLER_S = 1.0
+"""PROTOCOL: seconds for which a worker waits for a reply, and until it tries the next controller.
+"""
 FAILURE_AFTER_S = 0.5
 """Seconds after its start at which a task fails, if its job fails on the machine."""
 
@@ -30,6 +38,21 @@
     event `start`, and when it ends, with `end` and the cause.
     """
 
+    # What tests and runs set to inject faults
+
+    preemption_notice_s: float | None = None
+    """Seconds until the cloud takes the machine, as its heartbeats say; None: no notice."""
+    hung: bool = False
+    """Whether the machine does nothing; requests wait until it continues."""
+    deaf: bool = False
+    """Whether the worker receives nothing: replies and commands are lost, heartbeats arrive."""
+    mute: bool = False
+    """Whether its heartbeats are lost; commands reach it, and their replies arrive."""
+    slowness: float = 1.0
+    """Factor by which tasks take longer on this machine than their run time."""
+    saves_checkpoints: bool = False
+    """Whether tasks that are stopped with a grace period save before they exit."""
+
     def __init__(
         self,
         runtime: Runtime,
@@ -47,24 +70,22 @@
     ) -> None:
         """`gangs`: the rendezvous of gangs' tasks; if None, they run like the tasks of arrays."""
         self._gangs = gangs
-        self._runtime, self.machine, self._machine_type, self._address = (
-            runtime,
-            machine,
-            machine_type,
-            address,
-        )
-        self._nodes, self._report_s, self._lease_s = nodes, report_s, lease_s
-        self._spec, self._run_time, self._on_event, self._rng = spec, run_time, on_event, rng
+        self._runtime = runtime
+        self.machine = machine
+        self._machine_type = machine_type
+        self._address = address
+        self._nodes = nodes
+        self._report_s = report_s
+        self._lease_s = lease_s
+        self._spec = spec
+        self._run_time = run_time
+        self._on_event = on_event
+        self._rng = rng
         self.tasks: dict[tuple[str, int], WorkerTask] = {}
-        self.incarnation, self._sequence_number, self.fencing_token = 1, 0, 0
-        self.preemption_notice_s: float | None = None
-        """Seconds until the cloud takes the machine, as its heartbeats say; None: no notice."""
-        self.hung = self._is_shut_down = False
-        """`hung`: whether the machine does nothing; requests wait until it continues."""
-        self.deaf = False
-        """Whether the worker receives nothing: replies and commands are lost, heartbeats arrive."""
-        self.mute = False
-        """Whether its heartbeats are lost; commands reach it, and their replies arrive."""
+        self.incarnation = 1
+        self._sequence_number = 0
+        self.fencing_token = 0
+        self._is_shut_down = False
         self.does_job_fail: Callable[[str], bool] = lambda _: False
         """Returns whether a job's tasks fail on this machine; called at the start of each."""
         self.get_command_delay_s: Callable[[wire.CommandBatch], float] = lambda _: 0.0
@@ -76,10 +97,6 @@
         """Called with each batch of commands that was executed, before it is answered."""
         self.on_heartbeat_sent: Callable[[str, wire.Heartbeat], None] = lambda *_: None
         """Called with the receiving controller's name and the heartbeat, for each one sent."""
-        self.slowness = 1.0
-        """Factor by which tasks take longer on this machine than their run time."""
-        self.saves_checkpoints = False
-        """Whether tasks that are stopped with a grace period save before they exit."""
         self._lease_renewed_at = runtime.now()
         self._images: set[str] = set()
         self._controller = rng.choice(sorted(nodes))
@@ -127,7 +144,7 @@
     def report_soon(self) -> None:
         """Schedules the next heartbeat to report a change, unless a reply is awaited."""
         if not self._busy:
-            self._schedule_heartbeat(min(0.5, self._report_s))
+            self._schedule_heartbeat(min(MIN_REPORT_INTERVAL_S, self._report_s))
 
     def _send_heartbeat(self) -> None:
         if self.hung:
@@ -149,24 +166,27 @@
                     heartbeat_reply.fencing_token >= self.fencing_token
                     and incarnation == self.incarnation
                 ):
-                    delay = 0.5 if heartbeat_reply.fencing_token > self.fencing_token else delay
-                    self.fencing_token, self._lease_renewed_at = heartbeat_reply.fencing_token, now
+                    if heartbeat_reply.fencing_token > self.fencing_token:
+                        delay = MIN_REPORT_INTERVAL_S
+                    self.fencing_token = heartbeat_reply.fencing_token
+                    self._lease_renewed_at = now
                     self._execute(heartbeat_reply.commands)
             elif reply.status == 421:
                 target = msgspec.msgpack.decode(reply.body, type=wire.Redirect).controller
                 is_known = target in self._nodes and target != node
                 self._controller = target if is_known and target else self._next_controller(node)
-                delay = self._rng.uniform(0, 0.5) if is_known else 1.0
+                delay = self._rng.uniform(0, 0.5) if is_known else RETRY_NEXT_CONTROLLER_S
             elif reply.status != 200:
-                self._controller, delay = self._next_controller(node), 1.0
+                self._controller = self._next_controller(node)
+                delay = RETRY_NEXT_CONTROLLER_S
             self._schedule_heartbeat(delay)
 
         if self.mute:
-            self._runtime.after(1.0, on_reply, Reply(0))
+            self._runtime.after(RETRY_NEXT_CONTROLLER_S, on_reply, Reply(0))
             return
         report = self.report()
         self.on_heartbeat_sent(node, report)
-        self._clients[node].request("POST", wire.HEARTBEAT, report, 4.0, on_reply)
+        self._clients[node].request("POST", wire.HEARTBEAT, report, REPORT_TIMEOUT_S, on_reply)
 
     def _next_controller(self, node: str) -> str:
         names = sorted(self._nodes)
@@ -199,7 +219,7 @@
             return
         if self.hung:
             # The request waits in the hung machine and is executed once the machine continues.
-            self._runtime.after(0.5, self._handle_request, request)
+            self._runtime.after(HUNG_CHECK_INTERVAL_S, self._handle_request, request)
             return
         self._expire_lease_if_due()
         if request.path == wire.WORKER_STATUS:
@@ -223,7 +243,7 @@
         if self._is_shut_down or self.deaf:
             return False
         if self.hung:
-            self._runtime.after(0.5, self._receive_after_delay, batch)
+            self._runtime.after(HUNG_CHECK_INTERVAL_S, self._receive_after_delay, batch)
             return False
         self._expire_lease_if_due()
         return self._execute_batch(batch)
@@ -350,7 +370,9 @@
     def _complete(self, worker_task: WorkerTask) -> None:
         if self.hung:
             # A hung machine makes no progress.
-            worker_task.timer = self._runtime.after(0.5, self._complete, worker_task)
+            worker_task.timer = self._runtime.after(
+                HUNG_CHECK_INTERVAL_S, self._complete, worker_task
+            )
         else:
             self.exit(worker_task, wire.CAUSE_DONE)
 
