--- a/tests/test_token_raise.py
+++ b/tests/test_token_raise.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 from typing import TYPE_CHECKING
 
 import pytest
@@ -11,8 +12,14 @@
 from flaxtally.leader.launch_fence import LaunchFence
 from flaxtally.protocol import wire
 
-from .scenarios import check_final_state, start_busy_cluster, wait_for_leader
+from .scenarios import (
+    check_final_state,
+    start_busy_cluster,
+    submit_steady_load,
+    wait_for_leader,
+)
 from .simulated_cluster import SimulatedCluster, batch, spec
+from .test_leader_authority import ActAudit, inject_random_fault
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +27,8 @@
     from flaxtally.leader.leader import Leader
 
 REF = "j-000900"
+SEEDS = (0, 1, 2, 3)
+SOAK_SEEDS = range(int(os.environ.get("FLAXTALLY_SOAK_SEEDS", "0"))) or SEEDS
 
 
 def start_cluster_with_exits() -> tuple[SimulatedCluster, Leader]:
@@ -182,3 +191,23 @@
     cluster.run(59.0)
     assert {worker.incarnation for worker in cluster.workers.values()} == {1}
     check_final_state(cluster)
+
+
+@pytest.mark.parametrize("seed", SOAK_SEEDS)
+def test_raises_every_half_second_under_random_faults(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Each fault meets a raise that is about to begin, under way, or just over; answers are lost.
+    monkeypatch.setattr(LaunchFence, "_find_reason", lambda _: "test")
+    cluster = start_busy_cluster(seed, services=3, arrays=1, run_time=15.0)
+    audit = ActAudit(cluster, monkeypatch)
+    submit_steady_load(cluster, 60.0, interval_s=1.0)
+    cluster.copy_command_batches(0.3, 70.0)
+    for _ in range(15):
+        if cluster.rng.random() < 0.3:
+            cluster.lose_writes(0.5, 3.0, at_once=cluster.rng.random() < 0.7)
+        else:
+            inject_random_fault(cluster)
+        cluster.run(cluster.rng.uniform(0.5, 6.0))
+    check_final_state(cluster)
+    assert not audit.unentitled, audit.unentitled
