--- a/flaxtally/leader/commands.py
+++ b/flaxtally/leader/commands.py
@@ -87,7 +87,7 @@
 
 
 class CommandSender(TermActor):
-    """Queues and sends commands, and tracks which launch commands may still arrive.
+    """Queues and sends commands, and tracks which launch commands have no reply.
 
     A machine refuses the commands of a former leader only after it has heard of the successor.
     Launches, and stops of cancelled tasks, carry out what is committed, whoever sends them. All
--- a/flaxtally/leader/reconciliation/attempt_finisher.py
+++ b/flaxtally/leader/reconciliation/attempt_finisher.py
@@ -32,7 +32,7 @@
     NEW_INCARNATION = "session"
     """The worker on its machine started again, and the task is not among those that it runs."""
     NEVER_LAUNCHED = "never launched"
-    """The job or its gang attempt was stopped, and no copy of the launch command can arrive."""
+    """The job or its gang attempt was stopped, and the machine refused each launch command."""
     CANCELLED_BEFORE_LAUNCH = "cancelled before launch"
     WITHDRAWN_BEFORE_LAUNCH = "withdrawn before launch"
     MACHINE_REMOVED = "machine released"
--- a/flaxtally/leader/reconciliation/reconciler.py
+++ b/flaxtally/leader/reconciliation/reconciler.py
@@ -114,7 +114,7 @@
             job.spec.job_kind == wire.GANG and placement.stopping_at is not None
         )
         if is_called_off and placement.launches_in_flight == 0:
-            # No copy of the launch command is in flight.
+            # Each launch was refused, or the task would have been reported: so is each copy.
             self.attempt_finisher.finish_attempt(placement, EndReason.NEVER_LAUNCHED)
         elif not job.is_terminal and self._compute_since_command_s(placement) > (
             self.policy.order_call
