Copies of commands, read again: one look-up of a transaction, one way to refuse and to repeat confirmations, typed reasons

Change: the two ways to find a transaction executed ask the same question and end it in the same place; the barrier's requests are refused, and put back to wait, by one function each; why the token rises is an enumeration, logged with the same words; five test files choose their soak seeds by one function of scenarios.py. Doc comments that spoke of "the current token" speak of the term's. Behaviour is the same.

--- a/flaxtally/emulator/hollow_worker.py
+++ b/flaxtally/emulator/hollow_worker.py
@@ -19,8 +19,6 @@
 
 FETCH_VARIATION_FRACTION = 0.33
 """PROTOCOL: the time of an image fetch varies by up to a third in both directions."""
-
-
 MIN_COPY_DELAY_S, MAX_COPY_DELAY_LEASES = 0.1, 2
 """When a copy of a command batch arrives: from so many seconds to so many leases late."""
 
--- a/flaxtally/leader/launch_fence.py
+++ b/flaxtally/leader/launch_fence.py
@@ -10,6 +10,7 @@
 
 import logging
 from collections import Counter
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from .term import Term, TermActor
@@ -26,6 +27,15 @@
 """Exits on one machine for which the token is raised at once: heartbeats list all of them."""
 
 
+class RaiseReason(Enum):
+    """Why the fencing token is raised. The values are written to the log."""
+
+    EXITS_WAIT = "exits_wait"
+    MANY_EXITS_ON_A_MACHINE = "many_exits_on_a_machine"
+    GANG_WAITS = "gang_waits"
+    """A gang waits until a machine refuses commands about a lost task."""
+
+
 class LaunchFence(TermActor):
     """Decides which launches are fenced off, and raises the token while exits wait for that."""
 
@@ -65,28 +75,29 @@
     def check(self) -> None:
         """Raises the token if something waits for that, and it was not raised just before."""
         reason = self._find_reason()
-        if reason and not self.term.pending_number and self.term.may_act:
+        if reason is not None and not self.term.pending_number and self.term.may_act:
             log.info(
                 "event=token_raise_begun term=%d reason=%s exits=%d machines=%d",
                 self.term.number,
-                reason,
+                reason.value,
                 self._waiting_exits.total(),
                 len(self._waiting_exits),
             )
             self._raise_token()
 
-    def _find_reason(self) -> str:
+    def _find_reason(self) -> RaiseReason | None:
+        """Returns why the token is to be raised now; None if it is not."""
         now = self.runtime.now()
         # Workers report a higher token at once only if half of their lease has passed since.
         if now - self._raised_at < self.settings.lease_s / 2:
-            return ""
+            return None
         if self._does_gang_wait:
-            return "gang_waits"
+            return RaiseReason.GANG_WAITS
         if max(self._waiting_exits.values(), default=0) >= MAX_WAITING_EXITS:
-            return "many_exits_on_a_machine"
+            return RaiseReason.MANY_EXITS_ON_A_MACHINE
         if self._waiting_since is not None and now - self._waiting_since >= self.policy.exits_kept:
-            return "exits_wait"
-        return ""
+            return RaiseReason.EXITS_WAIT
+        return None
 
     def on_token_raised(self) -> None:
         """Records that batches carry a higher token now: all earlier launches are fenced off."""
--- a/flaxtally/leader/term.py
+++ b/flaxtally/leader/term.py
@@ -82,7 +82,7 @@
         self.fleet = Fleet(context.runtime, context.ledger, context.settings.zones)
         self.pass_requests = PassRequests()
         self.on_higher_token: Callable[[str, int], None] = _ignore_token
-        """Called with the machine and its fencing token if that is above the term's number."""
+        """Called with the machine and its fencing token if only a later leader can have sent it."""
 
     def begin_raise(self, number: int) -> None:
         """Records that the leader is taking that number; it may be stored already."""
--- a/flaxtally/ledger/leadership_barrier.py
+++ b/flaxtally/ledger/leadership_barrier.py
@@ -90,11 +90,19 @@
     def close(self) -> None:
         """Ends the term: pending requests are resolved as not confirmed."""
         self._is_open = False
+        self._refuse_waiting()
+
+    def _refuse_waiting(self) -> None:
+        """Resolves the waiting requests as not confirmed."""
         waiting = self._waiting
         self._waiting = []
         for request in waiting:
             request.resolve(is_leading=False)
 
+    def _wait_again(self, requests: list[_Request]) -> None:
+        """Puts requests of a round that was sent back before those that came since."""
+        self._waiting = [each for each in requests if not each.is_resolved] + self._waiting
+
     def begin_key_change(self) -> None:
         """From now on a conflict may be due to this controller's own write of the leader key."""
         self._is_key_changing = True
@@ -137,7 +145,7 @@
         """
         if round_number != self._round:
             return
-        self._waiting = [each for each in requests if not each.is_resolved] + self._waiting
+        self._wait_again(requests)
         self._round += 1
         if self._is_key_changing:
             self._is_held = True
@@ -147,14 +155,10 @@
             self.later(self._batching_delay_s / 2, self._send_round)
 
     def _give_up_held_round(self, round_number: int) -> None:
-        if not self._is_held or round_number != self._round:
-            return
-        self._is_held = False
-        self._is_sending = False
-        requests = self._waiting
-        self._waiting = []
-        for request in requests:
-            request.resolve(is_leading=False)
+        if self._is_held and round_number == self._round:
+            self._is_held = False
+            self._is_sending = False
+            self._refuse_waiting()
 
     def _on_reply(self, round_number: int, requests: list[_Request], outcome: Outcome) -> None:
         is_lost = self._is_open and outcome is Outcome.CONFLICT
@@ -173,7 +177,7 @@
         A reply that arrives later still counts.
         """
         if self._is_open and round_number == self._round:
-            self._waiting = [each for each in requests if not each.is_resolved] + self._waiting
+            self._wait_again(requests)
             self._start_next_round(round_number)
 
     def _start_next_round(self, round_number: int) -> None:
--- a/flaxtally/ledger/transaction.py
+++ b/flaxtally/ledger/transaction.py
@@ -100,7 +100,9 @@
             )
 
     def _on_looked_up(self, transaction: Transaction, row: wire.Row | None) -> None:
-        self._finish_if_applied(transaction, row)
+        """Ends the transaction if it was executed; otherwise it may still be."""
+        if self._is_pending(transaction) and row is not None and transaction.has_written(row):
+            self._finish(CommitOutcome.COMMITTED, row.version)
 
     def _is_pending(self, transaction: Transaction) -> bool:
         return self._is_open and self._transaction is transaction
@@ -109,13 +111,6 @@
         self._transaction = None
         self._on_outcome(outcome, revision)
 
-    def _finish_if_applied(self, transaction: Transaction, row: wire.Row | None) -> bool:
-        """Ends the transaction if the row shows that it was executed; returns whether it does."""
-        is_applied = row is not None and transaction.has_written(row)
-        if is_applied and row is not None and self._is_pending(transaction):
-            self._finish(CommitOutcome.COMMITTED, row.version)
-        return is_applied
-
     def _send_copy(self, transaction: Transaction) -> None:
         if not self._is_pending(transaction):
             return
@@ -173,5 +168,7 @@
             self.later(self._retry_s, self._read_back, transaction)
         elif row is None and not transaction.writes:
             self._finish(CommitOutcome.COMMITTED, 0)
-        elif not self._finish_if_applied(transaction, row):
+        elif row is not None and transaction.has_written(row):
+            self._finish(CommitOutcome.COMMITTED, row.version)
+        else:
             self._finish(CommitOutcome.CONFLICT, 0)
--- a/flaxtally/planning/fleet.py
+++ b/flaxtally/planning/fleet.py
@@ -49,13 +49,13 @@
     # Heartbeats
 
     is_reconciled: bool = False
-    """Whether it has reported under the current fencing token."""
+    """Whether it has reported under a fencing token of the leader's term."""
     incarnation: int = 0
     sequence_number: int = 0
     fencing_token: int = 0
     """The token under which it made the last accepted heartbeat."""
     newest_foreign_heartbeat: tuple[int, int] = (0, 0)
-    """Incarnation and sequence number of its newest heartbeat with another fencing token."""
+    """Incarnation and sequence number of its newest heartbeat under a token of another leader."""
     last_heartbeat_at: float = field(init=False)
     converged_tasks: list[wire.TaskStatus] | None = None
     """The tasks of its last report, if the same report again would change nothing."""
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -11,7 +12,7 @@
 from .simulated_cluster import SimulatedCluster, batch, spec
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     import pytest
 
@@ -20,6 +21,11 @@
 """Seconds for which a replica may be stopped and not yet started while it moves."""
 
 
+def choose_soak_seeds(seeds: Sequence[int]) -> Sequence[int]:
+    """Returns as many seeds as `FLAXTALLY_SOAK_SEEDS` says; without it, the given few."""
+    return range(int(os.environ.get("FLAXTALLY_SOAK_SEEDS", "0"))) or seeds
+
+
 def start_busy_cluster(
     seed: int = 1,
     services: int = 4,
--- a/tests/test_gang_faults.py
+++ b/tests/test_gang_faults.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 from typing import TYPE_CHECKING
 
@@ -18,7 +17,7 @@
 from flaxtally.planning.fleet import Machine
 from flaxtally.protocol import wire
 
-from .scenarios import check_final_state
+from .scenarios import check_final_state, choose_soak_seeds
 from .simulated_cluster import NODES, SimulatedCluster, batch, gang, spec
 
 if TYPE_CHECKING:
@@ -34,7 +33,7 @@
 """Seconds for which a lost command is on its way."""
 SEEDS = (0, 1, 2, 50, 55, 118, 132)
 """All but the first two brought about a false end before a machine could be excluded."""
-SOAK_SEEDS = range(int(os.environ.get("FLAXTALLY_SOAK_SEEDS", "0"))) or SEEDS
+SOAK_SEEDS = choose_soak_seeds(SEEDS)
 
 PlacementName = tuple[str, str, int]
 """A machine, and the task and attempt that it was given."""
--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from typing import TYPE_CHECKING
 
 import pytest
@@ -12,6 +11,7 @@
 from .scenarios import (
     change_leader,
     check_final_state,
+    choose_soak_seeds,
     start_busy_cluster,
     submit_steady_load,
     wait_for_leader,
@@ -25,7 +25,7 @@
 REF = "j-000900"
 TASK = f"{REF}/0"
 SEEDS = (0, 1, 2, 3)
-SOAK_SEEDS = range(int(os.environ.get("FLAXTALLY_SOAK_SEEDS", "0"))) or SEEDS
+SOAK_SEEDS = choose_soak_seeds(SEEDS)
 COPY_DELAYS_S = (0.2, 4.0, 13.0, 45.0)
 """Seconds, after the task was placed anew or cancelled, at which copies of its launch arrive."""
 
--- a/tests/test_leader_authority.py
+++ b/tests/test_leader_authority.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import os
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 
 from .scenarios import (
     check_final_state,
+    choose_soak_seeds,
     cut_off_by_refusals,
     start_busy_cluster,
     submit_steady_load,
@@ -36,7 +36,7 @@
 """Seconds by which messages are delayed while links are slow."""
 SEEDS = (0, 1, 2, 3, 27, 43, 46, 59)
 """The last four brought about acts of a former leader that had just been told of its successor."""
-SOAK_SEEDS = range(int(os.environ.get("FLAXTALLY_SOAK_SEEDS", "0"))) or SEEDS
+SOAK_SEEDS = choose_soak_seeds(SEEDS)
 
 
 class ActAudit:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import logging
-import os
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -17,7 +16,7 @@
 from flaxtally.protocol import wire
 from flaxtally.settings import Team
 
-from .scenarios import check_final_state
+from .scenarios import check_final_state, choose_soak_seeds
 from .simulated_cluster import SimulatedCluster, gang, spec
 from .simulated_lending import LENDING_FEATURE
 
@@ -34,7 +33,7 @@
 reserved and beside what was reclaimed, but not beside both. 232: a job stopped a task that precedes
 it. 270: a reservation and a reclaim waited for each other.
 """
-SOAK_SEEDS = range(int(os.environ.get("FLAXTALLY_SOAK_SEEDS", "0"))) or SEEDS
+SOAK_SEEDS = choose_soak_seeds(SEEDS)
 TEAMS = (
     Team("crew", 20.0, 64.0, 0.0, 0.0),
     Team("others", 16.0, 64.0, 0.0, 0.0),
--- a/tests/test_token_raise.py
+++ b/tests/test_token_raise.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import logging
-import os
 from typing import TYPE_CHECKING
 
 import pytest
 
 from flaxtally.cluster.leader_key import LEADER_KEY
-from flaxtally.leader.launch_fence import LaunchFence
+from flaxtally.leader.launch_fence import LaunchFence, RaiseReason
 from flaxtally.protocol import wire
 
 from .scenarios import (
     check_final_state,
+    choose_soak_seeds,
     start_busy_cluster,
     submit_steady_load,
     wait_for_leader,
@@ -28,7 +28,7 @@
 
 REF = "j-000900"
 SEEDS = (0, 1, 2, 3)
-SOAK_SEEDS = range(int(os.environ.get("FLAXTALLY_SOAK_SEEDS", "0"))) or SEEDS
+SOAK_SEEDS = choose_soak_seeds(SEEDS)
 
 
 def start_cluster_with_exits() -> tuple[SimulatedCluster, Leader]:
@@ -42,11 +42,11 @@
 def call_at_raise(monkeypatch: pytest.MonkeyPatch, callback: Callable[[], None]) -> None:
     """Has the callback called when a leader is about to raise its token for the first time."""
     find_reason = LaunchFence._find_reason
-    called: list[str] = []
+    called: list[RaiseReason] = []
 
-    def find_reason_and_call(fence: LaunchFence) -> str:
+    def find_reason_and_call(fence: LaunchFence) -> RaiseReason | None:
         reason = find_reason(fence)
-        if reason and not called:
+        if reason is not None and not called:
             called.append(reason)
             callback()
         return reason
@@ -198,7 +198,7 @@
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Each fault meets a raise that is about to begin, under way, or just over; answers are lost.
-    monkeypatch.setattr(LaunchFence, "_find_reason", lambda _: "test")
+    monkeypatch.setattr(LaunchFence, "_find_reason", lambda _: RaiseReason.EXITS_WAIT)
     cluster = start_busy_cluster(seed, services=3, arrays=1, run_time=15.0)
     audit = ActAudit(cluster, monkeypatch)
     submit_steady_load(cluster, 60.0, interval_s=1.0)
